--- /dev/null
+++ b/cli/src/main/java/dev/toucanstall/cli/package-info.java
@@ -0,0 +1,5 @@
+/** Placeholder. */
+@NullMarked
+package dev.toucanstall.cli;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/core/src/main/java/dev/toucanstall/core/effect/Effect.java
@@ -0,0 +1,156 @@
+package dev.toucanstall.core.effect;
+
+import dev.toucanstall.core.fold.Folded;
+import dev.toucanstall.core.model.Address;
+import dev.toucanstall.core.model.InstanceId;
+import dev.toucanstall.core.model.MemberId;
+import dev.toucanstall.core.model.Producer;
+import dev.toucanstall.core.model.Refusal;
+import dev.toucanstall.core.model.ServiceId;
+import dev.toucanstall.core.model.TeamId;
+import dev.toucanstall.core.peer.PeerMessage;
+import dev.toucanstall.core.record.Member;
+import dev.toucanstall.core.record.RecordBody;
+import java.util.List;
+
+/** Something that a decision asks the interpreter to carry out. Data only. */
+public sealed interface Effect {
+
+  /**
+   * Sends a request to a backend server.
+   *
+   * @param number the request's number
+   * @param instance the instance
+   * @param address where its backend server listens
+   * @param validUntil the last moment at which the first byte may be sent
+   * @param deadline when the attempt ends at the latest
+   */
+  record StartAttempt(
+      long number, InstanceId instance, Address address, long validUntil, long deadline)
+      implements Effect {}
+
+  /**
+   * Answers a caller with a refusal.
+   *
+   * @param number the request's number
+   * @param refusal the refusal
+   */
+  record Refuse(long number, Refusal refusal) implements Effect {}
+
+  /**
+   * Passes a backend server's error answer on to the caller, as no retry is due.
+   *
+   * @param number the request's number
+   */
+  record PassErrorAnswer(long number) implements Effect {}
+
+  /**
+   * Ends a request whose answer has gone to the caller.
+   *
+   * @param number the request's number
+   */
+  record EndRequest(long number) implements Effect {}
+
+  /**
+   * Appends a record to the log; the answer is not trusted.
+   *
+   * @param producer who writes it
+   * @param sequence the producer's number of it
+   * @param body what it says
+   */
+  record Append(Producer producer, long sequence, RecordBody body) implements Effect {}
+
+  /**
+   * Encodes a snapshot and appends its parts to the log.
+   *
+   * @param folded the state
+   */
+  record WriteSnapshot(Folded folded) implements Effect {}
+
+  /** Reads the log again from its newest snapshot. */
+  record ReloadLog() implements Effect {}
+
+  /**
+   * Reads the log from an offset from now on.
+   *
+   * @param from the next offset to read
+   */
+  record ReadLogFrom(long from) implements Effect {}
+
+  /**
+   * Sends a message to a peer; it may be lost.
+   *
+   * @param to the peer
+   * @param message the message
+   */
+  record Send(MemberId to, PeerMessage message) implements Effect {}
+
+  /**
+   * Keeps links to exactly these peers.
+   *
+   * @param peers the peers
+   */
+  record LinkTo(List<Member> peers) implements Effect {}
+
+  /**
+   * Answers an operator.
+   *
+   * @param handle the handle of the question
+   * @param answer the answer
+   */
+  record AnswerOperator(long handle, OperatorAnswer answer) implements Effect {}
+
+  /**
+   * Asks the platform to restart an instance that runs nothing.
+   *
+   * @param instance the instance
+   * @param incarnation the start of it that is to end
+   */
+  record RestartInstance(InstanceId instance, long incarnation) implements Effect {}
+
+  /**
+   * Tells the balancer whether this entry instance takes requests.
+   *
+   * @param ready whether it does
+   * @param why one sentence
+   */
+  record SetReady(boolean ready, String why) implements Effect {}
+
+  /**
+   * Counts a request towards its team's objective.
+   *
+   * @param team the team
+   * @param service the service
+   * @param waitedNanos from arrival to start, or to the refusal
+   * @param started whether it started
+   * @param reason "ok", "late" or the code of a refusal
+   */
+  record CountRequest(
+      TeamId team, ServiceId service, long waitedNanos, boolean started, String reason)
+      implements Effect {}
+
+  /**
+   * Writes a decision to the log of the process.
+   *
+   * @param subject what it is about
+   * @param rule the rule that it followed
+   * @param text what was decided and why
+   */
+  record LogDecision(String subject, String rule, String text) implements Effect {}
+
+  /**
+   * Raises an alarm for operators.
+   *
+   * @param name the stable name of the alarm
+   * @param text one sentence
+   */
+  record Alarm(String name, String text) implements Effect {}
+
+  /**
+   * Ends the process.
+   *
+   * @param status the exit status
+   * @param why one sentence
+   */
+  record Exit(int status, String why) implements Effect {}
+}
--- /dev/null
+++ b/core/src/main/java/dev/toucanstall/core/event/Event.java
@@ -0,0 +1,162 @@
+package dev.toucanstall.core.event;
+
+import dev.toucanstall.core.fold.Folded;
+import dev.toucanstall.core.model.InstanceId;
+import dev.toucanstall.core.model.KeyDigest;
+import dev.toucanstall.core.model.MemberId;
+import dev.toucanstall.core.peer.PeerMessage;
+import dev.toucanstall.core.record.LogEntry;
+import dev.toucanstall.core.record.Observation;
+import java.util.List;
+
+/**
+ * Something that happened to an entry instance. Times are nanoseconds of its monotonic clock; wall
+ * time plays no part in any decision.
+ */
+public sealed interface Event {
+
+  /**
+   * Returns when it happened.
+   *
+   * @return nanoseconds of the monotonic clock
+   */
+  long at();
+
+  /** An event of the log. */
+  sealed interface OfLog extends Event {}
+
+  /** An event of the links to peers. */
+  sealed interface OfPeer extends Event {}
+
+  /** An event of a request. */
+  sealed interface OfRequest extends Event {}
+
+  /** An event of the platform's fleet. */
+  sealed interface OfFleet extends Event {}
+
+  /** An event of the operators. */
+  sealed interface OfOperator extends Event {}
+
+  /** An event of the instance's own life. */
+  sealed interface OfLife extends Event {}
+
+  /**
+   * Time has passed.
+   *
+   * @param at when
+   */
+  record Tick(long at) implements OfLife {}
+
+  /**
+   * The instance is to stop gracefully.
+   *
+   * @param at when
+   */
+  record StopRequested(long at) implements OfLife {}
+
+  /**
+   * A read of the log was answered.
+   *
+   * @param at when the answer came
+   * @param askedAt when the read was sent
+   * @param first the oldest offset that the log still has
+   * @param end the offset that the next append will get, at some moment since {@code askedAt}
+   * @param entries consecutive records, may be empty
+   */
+  record LogRead(long at, long askedAt, long first, long end, List<LogEntry> entries)
+      implements OfLog {
+
+    /** Creates the event. */
+    public LogRead {
+      entries = List.copyOf(entries);
+    }
+  }
+
+  /**
+   * A snapshot was read from the log.
+   *
+   * @param at when
+   * @param folded the state it holds
+   */
+  record SnapshotLoaded(long at, Folded folded) implements OfLog {}
+
+  /**
+   * A link to a peer came up or went down.
+   *
+   * @param at when
+   * @param peer the peer
+   * @param connected whether it is up
+   */
+  record LinkChanged(long at, MemberId peer, boolean connected) implements OfPeer {}
+
+  /**
+   * A message of a peer arrived.
+   *
+   * @param at when
+   * @param peer the peer
+   * @param incarnation the start of it that sent the message
+   * @param message the message
+   */
+  record PeerReceived(long at, MemberId peer, long incarnation, PeerMessage message)
+      implements OfPeer {}
+
+  /**
+   * A request arrived.
+   *
+   * @param at when
+   * @param number the instance's own number of it, increasing
+   * @param arrival what is asked
+   */
+  record RequestArrived(long at, long number, Arrival arrival) implements OfRequest {}
+
+  /**
+   * An attempt ended.
+   *
+   * @param at when
+   * @param number the request's number
+   * @param instance where it was tried
+   * @param result how it ended
+   */
+  record AttemptEnded(long at, long number, InstanceId instance, AttemptResult result)
+      implements OfRequest {}
+
+  /**
+   * A waiting request's deadline has passed or its caller has gone.
+   *
+   * @param at when
+   * @param number the request's number
+   */
+  record WaitEnded(long at, long number) implements OfRequest {}
+
+  /**
+   * A caller cancelled a request by its id.
+   *
+   * @param at when
+   * @param key the digest of the caller's key
+   * @param requestId the request's id
+   */
+  record CancelAsked(long at, KeyDigest key, String requestId) implements OfRequest {}
+
+  /**
+   * The platform's list was read.
+   *
+   * @param at when
+   * @param listed the instances on it
+   */
+  record ListRead(long at, List<Observation> listed) implements OfFleet {
+
+    /** Creates the event. */
+    public ListRead {
+      listed = List.copyOf(listed);
+    }
+  }
+
+  /**
+   * An operator asks or changes something.
+   *
+   * @param at when
+   * @param handle what the answer is to name
+   * @param request what is asked
+   */
+  record OperatorAsked(long at, long handle, OperatorRequest request) implements OfOperator {}
+}
--- /dev/null
+++ b/core/src/main/java/dev/toucanstall/core/fold/Folded.java
@@ -0,0 +1,165 @@
+package dev.toucanstall.core.fold;
+
+import dev.toucanstall.core.model.Producer;
+import dev.toucanstall.core.settings.Settings;
+import dev.toucanstall.core.settings.SettingsTree;
+import java.util.Objects;
+import org.pcollections.PVector;
+import org.pcollections.TreePMap;
+import org.pcollections.TreePVector;
+
+/**
+ * The state that every replica derives from the log alone. Immutable; equal on all replicas that
+ * folded up to the same offset.
+ *
+ * @param offset the last folded offset, -1 if none
+ * @param tree the operators' tree
+ * @param settings the typed view of the tree
+ * @param membership the members
+ * @param fleet the instances of the fleet
+ * @param producers the last sequence number of each recent producer
+ * @param history the last accepted changes of settings, oldest first
+ * @param snapshotAt the offset up to which the newest complete snapshot reaches, -1 if none
+ * @param digest a running digest of what became of every record
+ */
+public record Folded(
+    long offset,
+    SettingsTree tree,
+    Settings settings,
+    Membership membership,
+    Fleet fleet,
+    TreePMap<String, ProducerMark> producers,
+    PVector<HistoryEntry> history,
+    long snapshotAt,
+    long digest) {
+
+  /** Most producers whose last sequence number is kept. */
+  public static final int KEPT_PRODUCERS = 4_096;
+
+  /** Most changes kept in the history. */
+  public static final int KEPT_HISTORY = 256;
+
+  /** The state before the first record. */
+  public static final Folded EMPTY =
+      new Folded(
+          -1,
+          SettingsTree.EMPTY,
+          Settings.EMPTY,
+          Membership.EMPTY,
+          Fleet.EMPTY,
+          TreePMap.empty(),
+          TreePVector.empty(),
+          -1,
+          0);
+
+  /**
+   * The last record of a producer.
+   *
+   * @param incarnation the producer's last start
+   * @param sequence the last sequence number of that start
+   * @param offset the offset of that record
+   */
+  public record ProducerMark(long incarnation, long sequence, long offset) {
+
+    /** Tells whether a record of the producer was folded already. */
+    boolean covers(Producer producer, long number) {
+      return producer.incarnation() < incarnation
+          || (producer.incarnation() == incarnation && number <= sequence);
+    }
+  }
+
+  /**
+   * Tells whether a record was folded already.
+   *
+   * @param producer who wrote it
+   * @param sequence its number
+   * @return true if so
+   */
+  public boolean hasFolded(Producer producer, long sequence) {
+    ProducerMark mark = producers.get(producer.name());
+    return mark != null && mark.covers(producer, sequence);
+  }
+
+  /** Returns the state with the offset moved on. */
+  Folded at(long next) {
+    return new Folded(
+        next, tree, settings, membership, fleet, producers, history, snapshotAt, digest);
+  }
+
+  /** Returns the state with what became of a record mixed into the digest. */
+  Folded withDigestOf(Outcome outcome) {
+    long code =
+        switch (outcome) {
+          case Outcome.Applied applied -> 1;
+          case Outcome.Repeated repeated -> 2;
+          case Outcome.Refused refused -> 3;
+        };
+    long parts = membership.active().size() * 31L + fleet.instances().size();
+    long mixed = (digest ^ (offset * 4 + code)) * 0x9e3779b97f4a7c15L + parts;
+    return new Folded(
+        offset,
+        tree,
+        settings,
+        membership,
+        fleet,
+        producers,
+        history,
+        snapshotAt,
+        mixed ^ (mixed >>> 29));
+  }
+
+  /** Returns the state with another tree and its typed view. */
+  Folded withTree(SettingsTree nextTree, Settings nextSettings) {
+    return new Folded(
+        offset, nextTree, nextSettings, membership, fleet, producers, history, snapshotAt, digest);
+  }
+
+  /** Returns the state with other members. */
+  Folded withMembership(Membership next) {
+    return new Folded(offset, tree, settings, next, fleet, producers, history, snapshotAt, digest);
+  }
+
+  /** Returns the state with another fleet. */
+  Folded withFleet(Fleet next) {
+    return new Folded(
+        offset, tree, settings, membership, next, producers, history, snapshotAt, digest);
+  }
+
+  /** Returns the state with a change added to the history. */
+  Folded withHistory(HistoryEntry entry) {
+    PVector<HistoryEntry> kept = history.size() < KEPT_HISTORY ? history : history.minus(0);
+    return new Folded(
+        offset, tree, settings, membership, fleet, producers, kept.plus(entry), snapshotAt, digest);
+  }
+
+  /** Returns the state with a newer snapshot noted. */
+  Folded withSnapshotAt(long foldedTo) {
+    return new Folded(
+        offset,
+        tree,
+        settings,
+        membership,
+        fleet,
+        producers,
+        history,
+        Math.max(snapshotAt, foldedTo),
+        digest);
+  }
+
+  /** Returns the state with a producer's last record noted; the oldest producer may be dropped. */
+  Folded withProducer(Producer producer, long sequence, long at) {
+    ProducerMark mark = new ProducerMark(producer.incarnation(), sequence, at);
+    TreePMap<String, ProducerMark> next = producers.plus(producer.name(), mark);
+    if (next.size() > KEPT_PRODUCERS) {
+      next = next.minus(oldest(next));
+    }
+    return new Folded(offset, tree, settings, membership, fleet, next, history, snapshotAt, digest);
+  }
+
+  private static String oldest(TreePMap<String, ProducerMark> marks) {
+    return marks.entrySet().stream()
+        .min((a, b) -> Long.compare(a.getValue().offset(), b.getValue().offset()))
+        .map(entry -> Objects.requireNonNull(entry.getKey()))
+        .orElseThrow();
+  }
+}
--- /dev/null
+++ b/core/src/main/java/dev/toucanstall/core/fold/Outcome.java
@@ -0,0 +1,35 @@
+package dev.toucanstall.core.fold;
+
+import java.util.Optional;
+
+/** What became of a record in the fold. */
+public sealed interface Outcome {
+
+  /** The record took effect. */
+  record Applied() implements Outcome {}
+
+  /** The record is a repeat of an earlier one and changes nothing. */
+  record Repeated() implements Outcome {}
+
+  /**
+   * The record no longer fits and changes nothing.
+   *
+   * @param why one sentence
+   */
+  record Refused(String why) implements Outcome {}
+
+  /** The single value of {@link Applied}. */
+  Outcome APPLIED = new Applied();
+
+  /** The single value of {@link Repeated}. */
+  Outcome REPEATED = new Repeated();
+
+  /**
+   * Returns why the record was refused.
+   *
+   * @return the sentence, or empty if the record was not refused
+   */
+  default Optional<String> refusal() {
+    return this instanceof Refused refused ? Optional.of(refused.why()) : Optional.empty();
+  }
+}
--- /dev/null
+++ b/core/src/main/java/dev/toucanstall/core/fold/Phase.java
@@ -0,0 +1,39 @@
+package dev.toucanstall.core.fold;
+
+import dev.toucanstall.core.record.DrainReason;
+
+/** Where an instance is between serving and a restart or move. */
+public sealed interface Phase {
+
+  /** Takes work of its pool. */
+  record Serving() implements Phase {}
+
+  /**
+   * Takes no new work and finishes what it runs.
+   *
+   * @param since the offset of the drain
+   * @param reason why
+   */
+  record Draining(long since, DrainReason reason) implements Phase {}
+
+  /**
+   * Runs nothing; the platform is asked to restart it, or it changes its pool.
+   *
+   * @param since the offset of the drain
+   * @param reason why it was drained
+   * @param incarnation the start of it that is to end
+   */
+  record Empty(long since, DrainReason reason, long incarnation) implements Phase {}
+
+  /** The single value of {@link Serving}. */
+  Phase SERVING = new Serving();
+
+  /**
+   * Tells whether the instance takes new work.
+   *
+   * @return true while serving
+   */
+  default boolean takesWork() {
+    return this instanceof Serving;
+  }
+}
--- /dev/null
+++ b/core/src/main/java/dev/toucanstall/core/model/KeyId.java
@@ -0,0 +1,28 @@
+package dev.toucanstall.core.model;
+
+/**
+ * Names a key of a team; the secret itself is never kept.
+ *
+ * @param value the name
+ */
+public record KeyId(String value) implements Id, Comparable<KeyId> {
+
+  /**
+   * Creates the identifier.
+   *
+   * @throws IllegalArgumentException if the name is malformed
+   */
+  public KeyId {
+    Names.requireName("key", value);
+  }
+
+  @Override
+  public int compareTo(KeyId other) {
+    return value.compareTo(other.value);
+  }
+
+  @Override
+  public String toString() {
+    return value;
+  }
+}
--- /dev/null
+++ b/core/src/main/java/dev/toucanstall/core/model/MemberId.java
@@ -0,0 +1,28 @@
+package dev.toucanstall.core.model;
+
+/**
+ * Names an entry instance as a member of the system.
+ *
+ * @param value the name
+ */
+public record MemberId(String value) implements Id, Comparable<MemberId> {
+
+  /**
+   * Creates the identifier.
+   *
+   * @throws IllegalArgumentException if the name is malformed
+   */
+  public MemberId {
+    Names.requireName("member", value);
+  }
+
+  @Override
+  public int compareTo(MemberId other) {
+    return value.compareTo(other.value);
+  }
+
+  @Override
+  public String toString() {
+    return value;
+  }
+}
--- /dev/null
+++ b/core/src/main/java/dev/toucanstall/core/model/TeamId.java
@@ -0,0 +1,28 @@
+package dev.toucanstall.core.model;
+
+/**
+ * Names a team, the owner of keys, shares and limits.
+ *
+ * @param value the name
+ */
+public record TeamId(String value) implements Id, Comparable<TeamId> {
+
+  /**
+   * Creates the identifier.
+   *
+   * @throws IllegalArgumentException if the name is malformed
+   */
+  public TeamId {
+    Names.requireName("team", value);
+  }
+
+  @Override
+  public int compareTo(TeamId other) {
+    return value.compareTo(other.value);
+  }
+
+  @Override
+  public String toString() {
+    return value;
+  }
+}
--- /dev/null
+++ b/core/src/main/java/dev/toucanstall/core/model/WaveId.java
@@ -0,0 +1,28 @@
+package dev.toucanstall.core.model;
+
+/**
+ * Names a maintenance wave.
+ *
+ * @param value the name
+ */
+public record WaveId(String value) implements Id, Comparable<WaveId> {
+
+  /**
+   * Creates the identifier.
+   *
+   * @throws IllegalArgumentException if the name is malformed
+   */
+  public WaveId {
+    Names.requireName("wave", value);
+  }
+
+  @Override
+  public int compareTo(WaveId other) {
+    return value.compareTo(other.value);
+  }
+
+  @Override
+  public String toString() {
+    return value;
+  }
+}
--- /dev/null
+++ b/core/src/main/java/dev/toucanstall/core/reduce/AfterFold.java
@@ -0,0 +1,120 @@
+package dev.toucanstall.core.reduce;
+
+import dev.toucanstall.core.effect.Effect;
+import dev.toucanstall.core.fold.Epoch;
+import dev.toucanstall.core.fold.FleetInstance;
+import dev.toucanstall.core.fold.Folded;
+import dev.toucanstall.core.fold.Membership;
+import dev.toucanstall.core.model.MemberId;
+import dev.toucanstall.core.record.Member;
+import dev.toucanstall.core.state.Life;
+import dev.toucanstall.core.state.PeerView;
+import dev.toucanstall.core.state.Peers;
+import dev.toucanstall.core.state.State;
+import java.util.List;
+import java.util.Set;
+import java.util.TreeSet;
+import org.pcollections.TreePMap;
+
+/** Draws the consequences of newly folded records. Pure. */
+final class AfterFold {
+
+  private AfterFold() {}
+
+  static Step react(State state, Folded before, long now) {
+    State versioned = state.withSlots(state.slots().withNextVersion());
+    return Step.of(noteEpochs(versioned, before, now))
+        .then(s -> relink(s, before, now))
+        .then(s -> becomeMember(s, now))
+        .then(s -> noteSnapshot(s, before, now))
+        .then(s -> explainFleet(s, before, now))
+        .then(s -> RequestRules.requeueMoved(s, before))
+        .then(s -> MembershipRules.propose(s, now))
+        .then(s -> Pump.pumpAll(s, now))
+        .then(s -> LifeReducer.updateReady(s, now));
+  }
+
+  private static State noteEpochs(State state, Folded before, long now) {
+    long last = before.membership().epoch().number();
+    State next = state;
+    for (Epoch epoch : state.folded().membership().epochs()) {
+      if (epoch.number() > last) {
+        next = next.withSlots(next.slots().withEpochFolded(epoch.number(), now));
+      }
+    }
+    return next;
+  }
+
+  private static Step relink(State state, Folded before, long now) {
+    TreePMap<MemberId, Member> wanted = state.folded().membership().reachable().minus(state.me());
+    if (wanted.equals(before.membership().reachable().minus(state.me()))) {
+      return Step.of(state);
+    }
+    TreePMap<MemberId, PeerView> views = TreePMap.empty();
+    for (MemberId peer : wanted.keySet()) {
+      views = views.plus(peer, state.peers().getOrUnheard(peer, now));
+    }
+    Peers peers = state.peers().withViews(views);
+    return Step.of(state.withPeers(peers), new Effect.LinkTo(List.copyOf(wanted.values())));
+  }
+
+  private static Step becomeMember(State state, long now) {
+    if (state.self().life() != Life.JOINING || !state.isMember()) {
+      return Step.of(state);
+    }
+    return Step.of(state.withSelf(state.self().withLife(Life.SERVING, now)))
+        .then(
+            s ->
+                Journaling.decide(
+                    s,
+                    now,
+                    "member/" + s.me(),
+                    "membership",
+                    "joined, epoch %d".formatted(s.folded().membership().epoch().number())));
+  }
+
+  private static Step noteSnapshot(State state, Folded before, long now) {
+    if (state.folded().snapshotAt() == before.snapshotAt() && before.offset() >= 0) {
+      return Step.of(state);
+    }
+    long due = now + state.self().timing().snapshotEvery();
+    return Step.of(state.withLog(state.log().withSnapshotDueAt(due)));
+  }
+
+  private static Step explainFleet(State state, Folded before, long now) {
+    if (state.folded().fleet() == before.fleet()) {
+      return Step.of(state);
+    }
+    Step step = Step.of(state);
+    Membership members = state.folded().membership();
+    Set<FleetInstance> changed = new TreeSet<>((a, b) -> a.id().compareTo(b.id()));
+    for (FleetInstance instance : state.folded().fleet().instances().values()) {
+      FleetInstance old = before.fleet().get(instance.id());
+      boolean same =
+          old != null
+              && old.phase().equals(instance.phase())
+              && old.pool().equals(instance.pool())
+              && old.observed().condition() == instance.observed().condition();
+      if (!same) {
+        changed.add(instance);
+      }
+    }
+    for (FleetInstance instance : changed) {
+      step =
+          step.then(
+              s ->
+                  Journaling.decide(
+                      s,
+                      now,
+                      "instance/" + instance.id(),
+                      "fleet",
+                      "pool %s, %s, %s, %d members"
+                          .formatted(
+                              instance.pool(),
+                              instance.phase(),
+                              instance.observed().condition(),
+                              members.active().size())));
+    }
+    return step;
+  }
+}
--- /dev/null
+++ b/core/src/main/java/dev/toucanstall/core/reduce/AttemptReducer.java
@@ -0,0 +1,180 @@
+package dev.toucanstall.core.reduce;
+
+import dev.toucanstall.core.effect.Effect;
+import dev.toucanstall.core.event.AttemptResult;
+import dev.toucanstall.core.event.Event;
+import dev.toucanstall.core.model.InstanceId;
+import dev.toucanstall.core.model.Refusal;
+import dev.toucanstall.core.model.RefusalCode;
+import dev.toucanstall.core.model.Verdict;
+import dev.toucanstall.core.peer.SlotKey;
+import dev.toucanstall.core.state.PoolQueue;
+import dev.toucanstall.core.state.Request;
+import dev.toucanstall.core.state.Stage;
+import dev.toucanstall.core.state.State;
+import dev.toucanstall.core.state.Traffic;
+import dev.toucanstall.core.state.Traffic.Abandoned;
+
+/**
+ * Decides on ends of attempts: frees slots, judges instances, retries within a budget. Pure.
+ *
+ * <p>An attempt that may still run keeps its slots until its deadline. Only what was not run is
+ * tried again for a non-idempotent request.
+ */
+final class AttemptReducer {
+
+  private static final int MAX_ATTEMPTS = 3;
+  private static final int SERVER_ERROR = 500;
+
+  private AttemptReducer() {}
+
+  static Step end(State state, Event.AttemptEnded ended) {
+    Request request = state.traffic().get(ended.number());
+    boolean expected =
+        request != null
+            && request.stage() instanceof Stage.Running running
+            && running.instance().equals(ended.instance());
+    if (!expected || request == null) {
+      return Step.of(state);
+    }
+    Stage.Running running = (Stage.Running) request.stage();
+    long now = ended.at();
+    return Step.of(free(state, request, running, ended.result(), now))
+        .then(s -> judge(s, request, ended, now))
+        .then(s -> LoanReducer.settle(s, new SlotKey.OfTeam(request.team()), now))
+        .then(s -> LoanReducer.settle(s, new SlotKey.OfInstance(running.instance()), now))
+        .then(s -> Pump.pump(s, running.pool(), now));
+  }
+
+  private static State free(
+      State state, Request request, Stage.Running running, AttemptResult result, long now) {
+    PoolQueue queue = state.traffic().pool(running.pool());
+    Traffic traffic =
+        state
+            .traffic()
+            .withPool(running.pool(), queue.minusRunning(request.team(), now - running.since()))
+            .withTokens(Traffic.TOKENS_PER_ATTEMPT);
+    long deadline = request.arrival().deadline();
+    if (mayStillRun(result) && now < deadline) {
+      Abandoned abandoned =
+          new Abandoned(deadline, request.number(), request.team(), running.instance());
+      return state.withTraffic(traffic.withAbandoned(traffic.abandoned().plus(abandoned)));
+    }
+    return SlotRules.end(state.withTraffic(traffic), request.team(), running.instance(), now);
+  }
+
+  private static boolean mayStillRun(AttemptResult result) {
+    return switch (result) {
+      case AttemptResult.Failed failed -> failed.verdict() == Verdict.MAY_HAVE_RUN;
+      case AttemptResult.Answered answered -> !answered.complete();
+      case AttemptResult.ErrorAnswer error -> false;
+      case AttemptResult.PermissionExpired expired -> false;
+    };
+  }
+
+  private static Step judge(State state, Request request, Event.AttemptEnded ended, long now) {
+    InstanceId instance = ended.instance();
+    return switch (ended.result()) {
+      case AttemptResult.Answered answered -> answered(state, request, instance, answered, now);
+      case AttemptResult.ErrorAnswer error -> error(state, request, instance, now);
+      case AttemptResult.Failed failed -> failed(state, request, instance, failed, now);
+      case AttemptResult.PermissionExpired expired ->
+          again(HealthRules.unjudged(state, instance), request, now);
+    };
+  }
+
+  private static Step answered(
+      State state,
+      Request request,
+      InstanceId instance,
+      AttemptResult.Answered answered,
+      long now) {
+    boolean good = answered.complete() && answered.status() < SERVER_ERROR;
+    Step judged =
+        good
+            ? HealthRules.succeeded(state, request, instance, now)
+            : HealthRules.endedInError(state, request, instance, now);
+    String reason = answered.complete() ? (good ? "ok" : "error-answer") : "answer-broken";
+    return judged
+        .then(s -> finish(s, request, true, reason, now))
+        .plus(new Effect.EndRequest(request.number()));
+  }
+
+  private static Step error(State state, Request request, InstanceId instance, long now) {
+    Request failed = request.failedOn(instance);
+    if (mayTryAgain(state, failed, Verdict.RAN)) {
+      State spent =
+          HealthRules.unjudged(state.withTraffic(state.traffic().withTokens(-1)), instance);
+      return again(spent, failed, now);
+    }
+    return HealthRules.endedInError(state, failed, instance, now)
+        .then(s -> finish(s, request, true, "error-answer", now))
+        .plus(new Effect.PassErrorAnswer(request.number()));
+  }
+
+  private static Step failed(
+      State state, Request request, InstanceId instance, AttemptResult.Failed failure, long now) {
+    Request failed = request.failedOn(instance);
+    Step judged =
+        failure.code() == RefusalCode.BACKEND_FAILED
+            ? HealthRules.failedByInstance(state, instance, now)
+            : Step.of(HealthRules.unjudged(state, instance));
+    if (mayTryAgain(state, failed, failure.verdict())) {
+      return judged
+          .map(s -> s.withTraffic(s.traffic().withTokens(-1)))
+          .then(s -> again(s, failed, now));
+    }
+    Refusal refusal = new Refusal(failure.code(), failure.verdict(), failure.detail(), 0);
+    if (failure.verdict() == Verdict.NOT_RUN) {
+      return judged.then(s -> RequestRules.refuse(s, failed, refusal, now));
+    }
+    return judged
+        .then(s -> finish(s, request, true, failure.code().text(), now))
+        .plus(new Effect.Refuse(request.number(), refusal));
+  }
+
+  private static boolean mayTryAgain(State state, Request failed, Verdict verdict) {
+    boolean safe =
+        verdict == Verdict.NOT_RUN
+            || (failed.arrival().idempotent() && failed.arrival().replayable());
+    return safe
+        && failed.failedOn().size() < MAX_ATTEMPTS
+        && state.traffic().retryTokens() >= 1
+        && !state.self().isStopping();
+  }
+
+  private static Step again(State state, Request request, long now) {
+    return RequestRules.enqueue(state, request, now);
+  }
+
+  private static Step finish(
+      State state, Request request, boolean started, String reason, long now) {
+    long since = request.stage() instanceof Stage.Running running ? running.since() : now;
+    return Step.of(
+        state.withTraffic(state.traffic().without(request)),
+        new Effect.CountRequest(
+            request.team(), request.service(), since - request.arrivedAt(), started, reason));
+  }
+
+  /** Frees the slots of abandoned attempts whose deadline has passed. */
+  static Step freeAbandoned(State state, long now) {
+    Step step = Step.of(state);
+    while (!step.state().traffic().abandoned().isEmpty()) {
+      Traffic traffic = step.state().traffic();
+      Abandoned first = traffic.abandoned().first();
+      if (first.until() > now) {
+        return step;
+      }
+      step =
+          step.map(
+                  s ->
+                      SlotRules.end(
+                          s.withTraffic(traffic.withAbandoned(traffic.abandoned().minus(first))),
+                          first.team(),
+                          first.instance(),
+                          now))
+              .then(s -> LoanReducer.settle(s, new SlotKey.OfTeam(first.team()), now));
+    }
+    return step;
+  }
+}
--- /dev/null
+++ b/core/src/main/java/dev/toucanstall/core/reduce/ClaimKeepers.java
@@ -0,0 +1,58 @@
+package dev.toucanstall.core.reduce;
+
+import dev.toucanstall.core.fold.Epoch;
+import dev.toucanstall.core.model.DomainId;
+import dev.toucanstall.core.model.MemberId;
+import dev.toucanstall.core.model.Rendezvous;
+import dev.toucanstall.core.model.RequestKey;
+import dev.toucanstall.core.state.State;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Objects;
+import java.util.Set;
+import java.util.stream.Stream;
+
+/**
+ * Chooses the members that keep the claim of a request id. Stateless.
+ *
+ * <p>Three members keep it, in distinct failure domains where there are as many, and two of them
+ * must grant it. While the claims of an earlier epoch may still matter, its keepers are asked too.
+ */
+final class ClaimKeepers {
+
+  /** How many members keep a claim. */
+  static final int KEEPERS = 3;
+
+  private ClaimKeepers() {}
+
+  /** Returns the groups of keepers of which each must grant a claim by its majority. */
+  static List<Set<MemberId>> groups(State state, RequestKey key, long now) {
+    List<Epoch> epochs = state.folded().membership().epochs();
+    Set<Set<MemberId>> groups = new HashSet<>();
+    long window = state.self().timing().claimWindow();
+    for (int i = epochs.size() - 1; i >= 0 && epochs.get(i).number() >= 0; i--) {
+      groups.add(of(epochs.get(i), key));
+      Long foldedAt = state.slots().foldedEpochAt().get(epochs.get(i).number());
+      boolean older = foldedAt == null || now - foldedAt > window;
+      if (older) {
+        break;
+      }
+    }
+    return List.copyOf(groups);
+  }
+
+  /** Returns the keepers of a claim in an epoch. */
+  static Set<MemberId> of(Epoch epoch, RequestKey key) {
+    List<MemberId> ranked = Rendezvous.rank(key.team().value() + "/" + key.id(), epoch.members());
+    Set<DomainId> domains = new HashSet<>();
+    List<MemberId> apart = new ArrayList<>();
+    for (MemberId member : ranked) {
+      if (domains.add(Objects.requireNonNull(epoch.domains().get(member)))) {
+        apart.add(member);
+      }
+    }
+    return Set.copyOf(
+        Stream.concat(apart.stream(), ranked.stream()).distinct().limit(KEEPERS).toList());
+  }
+}
--- /dev/null
+++ b/core/src/main/java/dev/toucanstall/core/reduce/DrainPlanner.java
@@ -0,0 +1,108 @@
+package dev.toucanstall.core.reduce;
+
+import dev.toucanstall.core.effect.Effect;
+import dev.toucanstall.core.fold.FleetInstance;
+import dev.toucanstall.core.fold.Phase;
+import dev.toucanstall.core.model.InstanceId;
+import dev.toucanstall.core.model.MemberId;
+import dev.toucanstall.core.model.PoolId;
+import dev.toucanstall.core.record.DrainReason;
+import dev.toucanstall.core.record.RecordBody;
+import dev.toucanstall.core.settings.Pool;
+import dev.toucanstall.core.state.PeerView;
+import dev.toucanstall.core.state.State;
+import java.util.Comparator;
+import java.util.Optional;
+
+/** Brings drains to their end, or calls them off when the availability budget breaks. Pure. */
+final class DrainPlanner {
+
+  private DrainPlanner() {}
+
+  static Step plan(State state, PoolId pool, long now) {
+    Step step = Step.of(state);
+    for (FleetInstance instance : state.folded().fleet().of(pool)) {
+      step =
+          switch (instance.phase()) {
+            case Phase.Serving serving -> step;
+            case Phase.Draining draining -> step.then(s -> finishDrain(s, instance, draining, now));
+            case Phase.Empty empty -> step.then(s -> goOn(s, instance, empty, now));
+          };
+    }
+    return step.then(s -> callOff(s, pool, now));
+  }
+
+  private static Step finishDrain(
+      State state, FleetInstance instance, Phase.Draining draining, long now) {
+    return isEmptyEverywhere(state, instance.id(), draining.since())
+        ? OutboxRules.append(
+            state, new RecordBody.InstanceEmptied(instance.id(), draining.since()), now)
+        : Step.of(state);
+  }
+
+  /**
+   * Tells whether every member has folded a drain and has nothing in flight at the instance, and
+   * whoever held slots before is fenced.
+   */
+  static boolean isEmptyEverywhere(State state, InstanceId id, long since) {
+    long epoch = state.folded().membership().epoch().number();
+    boolean settled = state.slots().clearedEpoch() == epoch && state.slots().quarantineUntil() == 0;
+    return settled
+        && RequestRules.runningOn(state, id) == 0
+        && state.folded().membership().active().keySet().stream()
+            .filter(member -> !member.equals(state.me()))
+            .allMatch(member -> saysEmpty(state, member, id, since, epoch));
+  }
+
+  private static boolean saysEmpty(
+      State state, MemberId member, InstanceId id, long since, long epoch) {
+    PeerView view = state.peers().get(member);
+    return view != null
+        && Freshness.isCurrent(state, member)
+        && view.folded() >= since
+        && view.shrunkTo() >= epoch
+        && !view.busy().contains(id);
+  }
+
+  private static Step goOn(State state, FleetInstance instance, Phase.Empty empty, long now) {
+    return switch (empty.reason()) {
+      case DrainReason.Move move ->
+          OutboxRules.append(
+              state, new RecordBody.InstanceMoved(instance.id(), instance.pool(), move.to()), now);
+      case DrainReason.Maintenance maintenance -> restart(state, instance, empty);
+      case DrainReason.Repair repair -> restart(state, instance, empty);
+    };
+  }
+
+  private static Step restart(State state, FleetInstance instance, Phase.Empty empty) {
+    boolean restarted = instance.observed().incarnation() > empty.incarnation();
+    return restarted
+        ? Step.of(state)
+        : Step.of(state, new Effect.RestartInstance(instance.id(), empty.incarnation()));
+  }
+
+  /** Calls off the newest drain that is not complete while the pool is over its budget. */
+  private static Step callOff(State state, PoolId id, long now) {
+    Pool pool = state.folded().settings().pools().get(id);
+    if (pool == null || !state.folded().fleet().isOverBudget(pool)) {
+      return Step.of(state);
+    }
+    Optional<FleetInstance> newest =
+        state.folded().fleet().of(id).stream()
+            .filter(instance -> instance.phase() instanceof Phase.Draining)
+            .max(Comparator.comparingLong(DrainPlanner::since));
+    return newest
+        .map(
+            instance ->
+                OutboxRules.append(
+                    state,
+                    new RecordBody.DrainCancelled(
+                        instance.id(), "pool \"%s\" is over its availability budget".formatted(id)),
+                    now))
+        .orElseGet(() -> Step.of(state));
+  }
+
+  private static long since(FleetInstance instance) {
+    return instance.phase() instanceof Phase.Draining draining ? draining.since() : -1;
+  }
+}
--- /dev/null
+++ b/core/src/main/java/dev/toucanstall/core/reduce/Journaling.java
@@ -0,0 +1,20 @@
+package dev.toucanstall.core.reduce;
+
+import dev.toucanstall.core.effect.Effect;
+import dev.toucanstall.core.state.Decisions.Decision;
+import dev.toucanstall.core.state.State;
+import dev.toucanstall.core.state.State.Journal;
+
+/** Records decisions for operators who ask why. Stateless. */
+final class Journaling {
+
+  private Journaling() {}
+
+  /** Records a decision and writes it to the log of the process. */
+  static Step decide(State state, long now, String subject, String rule, String text) {
+    Decision decision = new Decision(now, subject, rule, state.folded().offset(), text);
+    Journal journal =
+        new Journal(state.journal().decisions().plus(decision), state.journal().unknownNames());
+    return Step.of(state.withJournal(journal), new Effect.LogDecision(subject, rule, text));
+  }
+}
--- /dev/null
+++ b/core/src/main/java/dev/toucanstall/core/reduce/PeerReducer.java
@@ -0,0 +1,211 @@
+package dev.toucanstall.core.reduce;
+
+import dev.toucanstall.core.effect.Effect;
+import dev.toucanstall.core.event.Event;
+import dev.toucanstall.core.fold.FleetInstance;
+import dev.toucanstall.core.fold.Phase;
+import dev.toucanstall.core.model.InstanceId;
+import dev.toucanstall.core.model.MemberId;
+import dev.toucanstall.core.peer.PeerMessage;
+import dev.toucanstall.core.record.LogEntry;
+import dev.toucanstall.core.record.Member;
+import dev.toucanstall.core.state.PeerView;
+import dev.toucanstall.core.state.State;
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.List;
+import java.util.Set;
+import org.pcollections.PVector;
+
+/** Decides on events of the links to peers. Pure. */
+final class PeerReducer {
+
+  private PeerReducer() {}
+
+  static Step reduce(State state, Event.OfPeer event) {
+    return switch (event) {
+      case Event.LinkChanged changed -> linkChanged(state, changed);
+      case Event.PeerReceived received -> received(state, received);
+    };
+  }
+
+  private static Step linkChanged(State state, Event.LinkChanged changed) {
+    PeerView view = state.peers().get(changed.peer());
+    if (view == null) {
+      return Step.of(state);
+    }
+    State next =
+        state.withPeers(
+            state.peers().with(changed.peer(), view.withConnected(changed.connected())));
+    return changed.connected()
+        ? Step.of(next, heartbeatTo(next, changed.peer(), changed.at()))
+        : Step.of(next);
+  }
+
+  private static Step received(State state, Event.PeerReceived received) {
+    Member member = state.folded().membership().reachable().get(received.peer());
+    if (member == null || received.incarnation() < member.incarnation()) {
+      return Step.of(state);
+    }
+    MemberId peer = received.peer();
+    long now = received.at();
+    return switch (received.message()) {
+      case PeerMessage.Heartbeat heartbeat -> heartbeat(state, received, heartbeat);
+      case PeerMessage.LoanAsked asked ->
+          LoanReducer.asked(state, peer, received.incarnation(), asked, now);
+      case PeerMessage.LoanAnswered answered -> LoanReducer.answered(state, peer, answered, now);
+      case PeerMessage.LoanReturned returned -> LoanReducer.takeBack(state, peer, returned, now);
+      case PeerMessage.ClaimAsked asked ->
+          ClaimReducer.asked(state, peer, received.incarnation(), asked, now);
+      case PeerMessage.ClaimAnswered answered -> ClaimReducer.answered(state, peer, answered, now);
+      case PeerMessage.ClaimReleased released ->
+          ClaimReducer.released(state, peer, received.incarnation(), released);
+      case PeerMessage.RecordsAsked asked -> passRecords(state, peer, asked);
+      case PeerMessage.RecordsGiven given -> LogReducer.fold(state, given.entries(), now);
+      case PeerMessage.CancelPassed passed ->
+          RequestReducer.cancel(state, passed.key(), false, now);
+      case PeerMessage.LoadsReported reported ->
+          Step.of(
+              state.withPeers(
+                  state
+                      .peers()
+                      .with(
+                          peer,
+                          state.peers().getOrUnheard(peer, now).withLoads(reported.loads()))));
+    };
+  }
+
+  private static Step heartbeat(
+      State state, Event.PeerReceived received, PeerMessage.Heartbeat heartbeat) {
+    long now = received.at();
+    PeerView known = state.peers().getOrUnheard(received.peer(), now);
+    boolean sameStart = known.incarnation() == received.incarnation();
+    long echoed =
+        sameStart && known.everEchoed()
+            ? Math.max(known.echoedAt(), heartbeat.echo())
+            : heartbeat.echo();
+    PeerView view =
+        new PeerView(
+            received.incarnation(),
+            true,
+            heartbeat.sentAt(),
+            echoed,
+            heartbeat.echo() != 0 || (sameStart && known.everEchoed()),
+            now,
+            heartbeat.folded(),
+            heartbeat.shrunkTo(),
+            heartbeat.busy(),
+            known.loads());
+    State next = state.withPeers(state.peers().with(received.peer(), view));
+    return Step.of(adoptCleared(next, received.peer(), heartbeat.cleared()))
+        .map(s -> markMajority(s, now))
+        .then(s -> compareDigest(s, received.peer(), heartbeat))
+        .then(s -> askForRecords(s, received.peer(), heartbeat));
+  }
+
+  /** A settled member's word that an epoch is cleared holds for everyone. */
+  private static State adoptCleared(State state, MemberId peer, long cleared) {
+    boolean known =
+        state.folded().membership().epochs().stream().anyMatch(epoch -> epoch.number() == cleared);
+    boolean newer = cleared > state.slots().clearedEpoch();
+    return known && newer && Freshness.isCurrent(state, peer)
+        ? state.withSlots(state.slots().withCleared(cleared))
+        : state;
+  }
+
+  private static State markMajority(State state, long now) {
+    long offset = Long.MAX_VALUE;
+    for (Set<MemberId> group : state.folded().membership().groups()) {
+      offset = Math.min(offset, majorityOffset(state, group));
+    }
+    var marks = state.peers().majorityAt();
+    boolean newer = marks.isEmpty() || marks.lastKey() < offset;
+    return newer && offset != Long.MAX_VALUE
+        ? state.withPeers(state.peers().withMajority(offset, now))
+        : state;
+  }
+
+  private static long majorityOffset(State state, Set<MemberId> group) {
+    if (group.isEmpty()) {
+      return Long.MAX_VALUE;
+    }
+    List<Long> offsets = new ArrayList<>();
+    for (MemberId member : group) {
+      boolean mine = member.equals(state.me());
+      PeerView view = state.peers().get(member);
+      boolean counted = view != null && Freshness.isCurrent(state, member);
+      offsets.add(mine ? state.folded().offset() : counted && view != null ? view.folded() : -1);
+    }
+    Collections.sort(offsets);
+    return offsets.get((offsets.size() - 1) / 2);
+  }
+
+  private static Step compareDigest(State state, MemberId peer, PeerMessage.Heartbeat heartbeat) {
+    boolean comparable = heartbeat.digestAt() == state.folded().offset();
+    return comparable && heartbeat.digest() != state.folded().digest()
+        ? Step.of(
+            state,
+            new Effect.Alarm(
+                "state-diverged",
+                "state at offset %d differs from that of \"%s\""
+                    .formatted(heartbeat.digestAt(), peer)))
+        : Step.of(state);
+  }
+
+  private static Step askForRecords(State state, MemberId peer, PeerMessage.Heartbeat heartbeat) {
+    return heartbeat.folded() > state.folded().offset() && state.folded().offset() >= 0
+        ? Step.of(
+            state, new Effect.Send(peer, new PeerMessage.RecordsAsked(state.folded().offset() + 1)))
+        : Step.of(state);
+  }
+
+  private static Step passRecords(State state, MemberId peer, PeerMessage.RecordsAsked asked) {
+    PVector<LogEntry> tail = state.log().tail();
+    List<LogEntry> wanted = tail.stream().filter(entry -> entry.offset() >= asked.from()).toList();
+    boolean complete = !wanted.isEmpty() && wanted.get(0).offset() == asked.from();
+    return complete
+        ? Step.of(state, new Effect.Send(peer, new PeerMessage.RecordsGiven(wanted)))
+        : Step.of(state);
+  }
+
+  /** Sends heartbeats to all peers if they are due. */
+  static Step sendHeartbeats(State state, long now) {
+    if (now < state.peers().heartbeatDueAt()) {
+      return Step.of(state);
+    }
+    Step step =
+        Step.of(
+            state.withPeers(
+                state.peers().withHeartbeatDueAt(now + state.self().timing().heartbeat())));
+    for (var entry : state.peers().views().entrySet()) {
+      if (entry.getValue().connected()) {
+        step = step.then(s -> Step.of(s, heartbeatTo(s, entry.getKey(), now)));
+      }
+    }
+    return step;
+  }
+
+  private static Effect heartbeatTo(State state, MemberId peer, long now) {
+    PeerView view = state.peers().getOrUnheard(peer, now);
+    return new Effect.Send(
+        peer,
+        new PeerMessage.Heartbeat(
+            now,
+            view.theirSentAt(),
+            state.folded().offset(),
+            SplitRules.shrunkTo(state, now),
+            state.slots().clearedEpoch(),
+            busyDraining(state),
+            state.folded().digest(),
+            state.folded().offset()));
+  }
+
+  /** Returns the draining instances at which this one has work in flight. */
+  static List<InstanceId> busyDraining(State state) {
+    return state.folded().fleet().instances().values().stream()
+        .filter(instance -> instance.phase() instanceof Phase.Draining)
+        .map(FleetInstance::id)
+        .filter(id -> RequestRules.runningOn(state, id) > 0)
+        .toList();
+  }
+}
--- /dev/null
+++ b/core/src/main/java/dev/toucanstall/core/reduce/Pump.java
@@ -0,0 +1,209 @@
+package dev.toucanstall.core.reduce;
+
+import dev.toucanstall.core.effect.Effect;
+import dev.toucanstall.core.fold.FleetInstance;
+import dev.toucanstall.core.model.InstanceId;
+import dev.toucanstall.core.model.KeyDigest;
+import dev.toucanstall.core.model.PoolId;
+import dev.toucanstall.core.model.Refusal;
+import dev.toucanstall.core.model.RefusalCode;
+import dev.toucanstall.core.model.TeamId;
+import dev.toucanstall.core.peer.SlotKey;
+import dev.toucanstall.core.settings.KeyGrant;
+import dev.toucanstall.core.settings.Team;
+import dev.toucanstall.core.state.PoolQueue;
+import dev.toucanstall.core.state.Request;
+import dev.toucanstall.core.state.SlotUse;
+import dev.toucanstall.core.state.Stage;
+import dev.toucanstall.core.state.State;
+import dev.toucanstall.core.state.TeamQueue;
+import java.time.Duration;
+import java.util.List;
+import java.util.Map;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Starts waiting requests. Pure.
+ *
+ * <p>Among the teams that may run more, one with urgent work goes first, then the one that uses the
+ * least of its share; so a full pool comes near the weighted max-min shares and an idle one is used
+ * by whoever waits.
+ */
+final class Pump {
+
+  /** How long before its deadline a batch request becomes urgent. */
+  static final long DUE_MARGIN_NANOS = Duration.ofSeconds(10).toNanos();
+
+  private Pump() {}
+
+  /** Starts what can start in all pools with waiting requests. */
+  static Step pumpAll(State state, long now) {
+    Step step = Step.of(state);
+    for (Map.Entry<PoolId, PoolQueue> entry : state.traffic().pools().entrySet()) {
+      if (entry.getValue().waiting() > 0) {
+        step = step.then(s -> pump(s, entry.getKey(), now));
+      }
+    }
+    return step;
+  }
+
+  /** Starts what can start in a pool. */
+  static Step pump(State state, PoolId pool, long now) {
+    long freshUntil = Freshness.freshUntil(state, now);
+    Step step = Step.of(state);
+    if (freshUntil <= now) {
+      return step;
+    }
+    while (true) {
+      State current = step.state();
+      TeamId team = nextTeam(current, pool, now);
+      if (team == null) {
+        return step.then(s -> askForTeamSlots(s, pool, now));
+      }
+      Request request = first(current, pool, team, now);
+      if (!isKeyInForce(current, request)) {
+        step = step.then(s -> refuseWithdrawn(s, request, now));
+        continue;
+      }
+      FleetInstance instance = chooseFor(current, pool, request, now);
+      if (instance == null) {
+        return step.then(s -> askForInstanceSlots(s, pool, now));
+      }
+      step = step.then(s -> start(s, request, instance, freshUntil, now));
+    }
+  }
+
+  private static @Nullable FleetInstance chooseFor(
+      State state, PoolId pool, Request request, long now) {
+    FleetInstance other = Placement.choose(state, pool, request.failedOn(), request.number(), now);
+    return other != null || request.failedOn().isEmpty()
+        ? other
+        : Placement.choose(state, pool, List.of(), request.number(), now);
+  }
+
+  private static Request first(State state, PoolId pool, TeamId team, long now) {
+    TeamQueue queue = state.traffic().pool(pool).teams().get(team);
+    Request request =
+        queue == null ? null : state.traffic().get(queue.first(now, DUE_MARGIN_NANOS));
+    if (request == null) {
+      throw new IllegalStateException(
+          "queue of team \"%s\" in pool \"%s\" names no request".formatted(team, pool));
+    }
+    return request;
+  }
+
+  private static @Nullable TeamId nextTeam(State state, PoolId pool, long now) {
+    PoolQueue queue = state.traffic().pool(pool);
+    TeamId best = null;
+    boolean bestUrgent = false;
+    double bestUse = 0;
+    for (Map.Entry<TeamId, TeamQueue> entry : queue.teams().entrySet()) {
+      TeamId team = entry.getKey();
+      if (SlotRules.current(state, new SlotKey.OfTeam(team), now).free(now) <= 0) {
+        continue;
+      }
+      boolean urgent = entry.getValue().hasUrgent(now, DUE_MARGIN_NANOS);
+      double use = (double) queue.runningOf(team) / state.folded().settings().share(team);
+      boolean better =
+          best == null || (urgent && !bestUrgent) || (urgent == bestUrgent && use < bestUse);
+      if (better) {
+        best = team;
+        bestUrgent = urgent;
+        bestUse = use;
+      }
+    }
+    return best;
+  }
+
+  private static boolean isKeyInForce(State state, Request request) {
+    KeyDigest key = request.arrival().key();
+    if (key == null) {
+      return request.team().equals(Team.ANONYMOUS);
+    }
+    KeyGrant grant = state.folded().settings().keys().get(key);
+    return grant != null && grant.team().equals(request.team());
+  }
+
+  private static Step refuseWithdrawn(State state, Request request, long now) {
+    return RequestRules.refuse(
+        state,
+        request,
+        Refusal.notRun(RefusalCode.KEY_UNKNOWN, "The key was withdrawn while the request waited."),
+        now);
+  }
+
+  private static Step start(
+      State state, Request request, FleetInstance instance, long freshUntil, long now) {
+    InstanceId id = instance.id();
+    SlotUse ofTeam = SlotRules.current(state, new SlotKey.OfTeam(request.team()), now);
+    SlotUse ofInstance = SlotRules.current(state, new SlotKey.OfInstance(id), now);
+    checkStart(state, request, instance, ofTeam, ofInstance, now);
+    long validUntil =
+        Math.min(freshUntil, Math.min(ofTeam.startUntil(now), ofInstance.startUntil(now)));
+    PoolId pool = instance.pool();
+    Request running = request.in(new Stage.Running(pool, id, now));
+    PoolQueue queue = state.traffic().pool(pool).minusWaiting(request).plusRunning(request.team());
+    State counted =
+        SlotRules.start(
+            state.withTraffic(state.traffic().with(running).withPool(pool, queue)),
+            request.team(),
+            id,
+            now);
+    return Step.of(
+        HealthRules.started(counted, id),
+        new Effect.StartAttempt(
+            request.number(),
+            id,
+            instance.observed().address(),
+            validUntil,
+            request.arrival().deadline()));
+  }
+
+  private static void checkStart(
+      State state,
+      Request request,
+      FleetInstance instance,
+      SlotUse ofTeam,
+      SlotUse ofInstance,
+      long now) {
+    Invariants.check(
+        ofTeam.free(now) > 0,
+        "team-within-limit",
+        () -> "team %s runs %d".formatted(request.team(), ofTeam.running()));
+    Invariants.check(
+        ofInstance.free(now) > 0,
+        "instance-within-slots",
+        () -> "instance %s runs %d".formatted(instance.id(), ofInstance.running()));
+    Invariants.check(
+        instance.phase().takesWork(),
+        "no-work-while-leaving",
+        () -> "instance %s is %s".formatted(instance.id(), instance.phase()));
+    Invariants.check(Freshness.isFresh(state, now), "admit-only-while-fresh", () -> "not fresh");
+    Invariants.check(
+        request.stage() instanceof Stage.Waiting, "start-once", () -> "stage " + request.stage());
+  }
+
+  private static Step askForTeamSlots(State state, PoolId pool, long now) {
+    Step step = Step.of(state);
+    for (Map.Entry<TeamId, TeamQueue> entry : state.traffic().pool(pool).teams().entrySet()) {
+      SlotKey key = new SlotKey.OfTeam(entry.getKey());
+      int wanted = entry.getValue().size();
+      step = step.then(s -> LoanReducer.ask(s, key, wanted, now));
+    }
+    return step;
+  }
+
+  private static Step askForInstanceSlots(State state, PoolId pool, long now) {
+    List<InstanceId> candidates =
+        state.folded().fleet().of(pool).stream()
+            .filter(instance -> Placement.mayStart(state, instance, now))
+            .map(FleetInstance::id)
+            .toList();
+    int waiting = state.traffic().pool(pool).waiting();
+    Step step = Step.of(state);
+    for (InstanceId id : candidates.subList(0, Math.min(waiting, candidates.size()))) {
+      step = step.then(s -> LoanReducer.ask(s, new SlotKey.OfInstance(id), 1, now));
+    }
+    return step;
+  }
+}
--- /dev/null
+++ b/core/src/main/java/dev/toucanstall/core/reduce/RequestRules.java
@@ -0,0 +1,124 @@
+package dev.toucanstall.core.reduce;
+
+import dev.toucanstall.core.effect.Effect;
+import dev.toucanstall.core.fold.Folded;
+import dev.toucanstall.core.model.InstanceId;
+import dev.toucanstall.core.model.PoolId;
+import dev.toucanstall.core.model.Refusal;
+import dev.toucanstall.core.model.RefusalCode;
+import dev.toucanstall.core.peer.SlotKey;
+import dev.toucanstall.core.settings.Service;
+import dev.toucanstall.core.state.PoolQueue;
+import dev.toucanstall.core.state.Request;
+import dev.toucanstall.core.state.Stage;
+import dev.toucanstall.core.state.State;
+import dev.toucanstall.core.state.Traffic;
+
+/** What several families of events do with requests. Stateless. */
+final class RequestRules {
+
+  private static final long RETRY_AFTER_MILLIS = 1_000;
+
+  private RequestRules() {}
+
+  /** Puts a request into its pool's queue and starts what can start. */
+  static Step enqueue(State state, Request request, long now) {
+    Service service = state.folded().settings().services().get(request.service());
+    if (service == null) {
+      return refuse(
+          state,
+          request,
+          Refusal.notRun(RefusalCode.SERVICE_UNKNOWN, "The service was removed."),
+          now);
+    }
+    PoolQueue queue = state.traffic().pool(service.pool());
+    if (queue.waitingOf(request.team()) >= service.queueLimit()) {
+      return refuse(state, request, queueFull(service), now);
+    }
+    if (isTooLate(state, queue, service.pool(), request, now)) {
+      return refuse(state, request, tooLate(queue), now);
+    }
+    return Step.of(waiting(state, request, service.pool()))
+        .then(s -> Pump.pump(s, service.pool(), now));
+  }
+
+  private static State waiting(State state, Request request, PoolId pool) {
+    Request next = request.in(new Stage.Waiting(pool));
+    PoolQueue queue = state.traffic().pool(pool).plusWaiting(next);
+    return state.withTraffic(state.traffic().with(next).withPool(pool, queue));
+  }
+
+  private static Refusal queueFull(Service service) {
+    return Refusal.notRun(
+        RefusalCode.QUEUE_FULL,
+        "The team's queue of service \"%s\" is full.".formatted(service.id()),
+        RETRY_AFTER_MILLIS);
+  }
+
+  private static Refusal tooLate(PoolQueue queue) {
+    return Refusal.notRun(
+        RefusalCode.TOO_LATE,
+        "The request would not start before its deadline; %d wait ahead of it."
+            .formatted(queue.waiting()),
+        RETRY_AFTER_MILLIS);
+  }
+
+  private static boolean isTooLate(
+      State state, PoolQueue queue, PoolId pool, Request request, long now) {
+    if (queue.waiting() == 0 || queue.meanRunNanos() == 0) {
+      return false;
+    }
+    int slots = Math.max(1, Placement.capacity(state, pool, now));
+    int ahead = queue.waitingOf(request.team());
+    double expected = queue.meanRunNanos() * (ahead + 1) / slots;
+    return now + expected + queue.meanRunNanos() > request.arrival().deadline();
+  }
+
+  /** Refuses a request that this submission has not run, and forgets it. */
+  static Step refuse(State state, Request request, Refusal refusal, long now) {
+    State left = state.withTraffic(leave(state.traffic(), request).without(request));
+    Step step =
+        Step.of(
+            left,
+            new Effect.Refuse(request.number(), refusal),
+            new Effect.CountRequest(
+                request.team(),
+                request.service(),
+                now - request.arrivedAt(),
+                false,
+                refusal.code().text()));
+    return request.needsClaim() ? step.then(s -> ClaimReducer.release(s, request, now)) : step;
+  }
+
+  /** Takes a request out of the queue that it waits in, if any. */
+  static Traffic leave(Traffic traffic, Request request) {
+    return request.stage() instanceof Stage.Waiting waiting
+        ? traffic.withPool(waiting.pool(), traffic.pool(waiting.pool()).minusWaiting(request))
+        : traffic;
+  }
+
+  /** Moves waiting requests to the pools that their services run in now. */
+  static Step requeueMoved(State state, Folded before) {
+    if (state.folded().settings() == before.settings()) {
+      return Step.of(state);
+    }
+    State next = state;
+    for (Request request : state.traffic().requests().values()) {
+      Service service = state.folded().settings().services().get(request.service());
+      boolean moved =
+          request.stage() instanceof Stage.Waiting waiting
+              && service != null
+              && !waiting.pool().equals(service.pool());
+      if (moved && service != null) {
+        State left = next.withTraffic(leave(next.traffic(), request));
+        next = waiting(left, request, service.pool());
+      }
+    }
+    return Step.of(next);
+  }
+
+  /** Returns how many of this instance's requests run on an instance. */
+  static int runningOn(State state, InstanceId instance) {
+    return state.slots().get(new SlotKey.OfInstance(instance)).running();
+  }
+}
--- /dev/null
+++ b/core/src/main/java/dev/toucanstall/core/reduce/SlotRules.java
@@ -0,0 +1,44 @@
+package dev.toucanstall.core.reduce;
+
+import dev.toucanstall.core.model.InstanceId;
+import dev.toucanstall.core.model.TeamId;
+import dev.toucanstall.core.peer.SlotKey;
+import dev.toucanstall.core.state.SlotUse;
+import dev.toucanstall.core.state.State;
+
+/** Keeps count of the slots that this instance uses. Stateless. */
+final class SlotRules {
+
+  private SlotRules() {}
+
+  /** Returns the use of slots with its home share worked out by the present split. */
+  static SlotUse current(State state, SlotKey key, long now) {
+    SlotUse use = state.slots().get(key);
+    long version = state.slots().version();
+    return use.homeVersion() == version
+        ? use
+        : use.withHome(SplitRules.home(state, key, now), version);
+  }
+
+  /** Counts a start under both its team's and its instance's slots. */
+  static State start(State state, TeamId team, InstanceId instance, long now) {
+    return change(
+        change(state, new SlotKey.OfTeam(team), 1, now), new SlotKey.OfInstance(instance), 1, now);
+  }
+
+  /** Counts an end under both its team's and its instance's slots. */
+  static State end(State state, TeamId team, InstanceId instance, long now) {
+    return change(
+        change(state, new SlotKey.OfTeam(team), -1, now),
+        new SlotKey.OfInstance(instance),
+        -1,
+        now);
+  }
+
+  private static State change(State state, SlotKey key, int by, long now) {
+    SlotUse use = current(state, key, now);
+    Invariants.check(
+        use.running() + by >= 0, "slots-not-negative", () -> key + " would run " + (-by));
+    return state.withSlots(state.slots().with(key, use.withRunning(use.running() + by)));
+  }
+}
--- /dev/null
+++ b/core/src/main/java/dev/toucanstall/core/settings/Leaf.java
@@ -0,0 +1,9 @@
+package dev.toucanstall.core.settings;
+
+/**
+ * A value in the tree.
+ *
+ * @param value the text
+ * @param changedAt the offset of the record that wrote it
+ */
+public record Leaf(String value, long changedAt) {}
--- /dev/null
+++ b/core/src/main/java/dev/toucanstall/core/settings/SettingsTree.java
@@ -0,0 +1,92 @@
+package dev.toucanstall.core.settings;
+
+import java.util.List;
+import java.util.Map;
+import java.util.Objects;
+import org.pcollections.HashPMap;
+import org.pcollections.HashTreePMap;
+import org.pcollections.TreePMap;
+
+/**
+ * The operators' tree: values under paths, and a version for each subtree. Immutable.
+ *
+ * <p>The version of a subtree is the offset of the last record that changed something in it.
+ * Versions are kept for the first {@value #VERSION_DEPTH} levels; a deeper path has the version of
+ * its ancestor on that level, so that removed values leave nothing behind that grows.
+ *
+ * @param leaves the values by path
+ * @param versions the versions by path
+ */
+public record SettingsTree(TreePMap<String, Leaf> leaves, HashPMap<String, Long> versions) {
+
+  /** Depth in segments to which versions are kept. */
+  public static final int VERSION_DEPTH = 2;
+
+  /** The version of a subtree that was never changed. */
+  public static final long NEVER = -1;
+
+  /** A tree with no values. */
+  public static final SettingsTree EMPTY = new SettingsTree(TreePMap.empty(), HashTreePMap.empty());
+
+  /**
+   * Returns the version of the subtree at a path.
+   *
+   * @param path the path
+   * @return the offset of its last change, or {@link #NEVER}
+   */
+  public long version(SettingsPath path) {
+    return Objects.requireNonNullElse(versions.get(path.upTo(VERSION_DEPTH).toString()), NEVER);
+  }
+
+  /**
+   * Returns the values at and below a path in the order of their paths.
+   *
+   * @param path the path
+   * @return the values by path, empty if there are none
+   */
+  public Map<String, Leaf> subtree(SettingsPath path) {
+    if (path.segments().isEmpty()) {
+      return leaves;
+    }
+    TreePMap<String, Leaf> found = TreePMap.empty();
+    Leaf own = leaves.get(path.toString());
+    if (own != null) {
+      found = found.plus(path.toString(), own);
+    }
+    return found.plusAll(leaves.subMap(path + "/", true, path + "0", false));
+  }
+
+  /**
+   * Returns the tree after a list of assignments.
+   *
+   * @param assignments the assignments, carried out in order
+   * @param offset the offset of the record that holds them
+   * @return the new tree
+   */
+  public SettingsTree assign(List<Assignment> assignments, long offset) {
+    SettingsTree tree = this;
+    for (Assignment assignment : assignments) {
+      tree = tree.assign(assignment, offset);
+    }
+    return tree;
+  }
+
+  private SettingsTree assign(Assignment assignment, long offset) {
+    SettingsPath path = SettingsPath.parse(assignment.path());
+    String value = assignment.value();
+    TreePMap<String, Leaf> next =
+        value == null
+            ? leaves.minusAll(subtree(path).keySet())
+            : leaves.plus(path.toString(), new Leaf(value, offset));
+    return new SettingsTree(next, touch(path, offset));
+  }
+
+  private HashPMap<String, Long> touch(SettingsPath path, long offset) {
+    HashPMap<String, Long> next = versions;
+    int deepest = Math.min(VERSION_DEPTH, path.segments().size());
+    for (int depth = 0; depth <= deepest; depth++) {
+      next = next.plus(path.upTo(depth).toString(), offset);
+    }
+    return next;
+  }
+}
--- /dev/null
+++ b/core/src/main/java/dev/toucanstall/core/settings/ValueType.java
@@ -0,0 +1,55 @@
+package dev.toucanstall.core.settings;
+
+import dev.toucanstall.core.model.KeyDigest;
+import dev.toucanstall.core.model.Names;
+import java.util.List;
+import java.util.Optional;
+
+/** Checks the text of a value; implementations are lambdas without state. */
+@FunctionalInterface
+interface ValueType {
+
+  /**
+   * Says what is wrong with a value.
+   *
+   * @param text the value
+   * @return what was expected, or empty if the value is right
+   */
+  Optional<String> problem(String text);
+
+  /** Returns the type of whole numbers within a range, both ends included. */
+  static ValueType wholeNumber(long least, long most) {
+    return text -> {
+      try {
+        long number = Long.parseLong(text);
+        return number >= least && number <= most
+            ? Optional.empty()
+            : Optional.of("a whole number in %d..%d".formatted(least, most));
+      } catch (NumberFormatException e) {
+        return Optional.of("a whole number in %d..%d".formatted(least, most));
+      }
+    };
+  }
+
+  /** Returns the type of names. */
+  static ValueType name() {
+    return text -> Names.isName(text) ? Optional.empty() : Optional.of("a name");
+  }
+
+  /** Returns the type of one of several words. */
+  static ValueType oneOf(String... words) {
+    List<String> all = List.of(words);
+    return text -> all.contains(text) ? Optional.empty() : Optional.of("one of " + all);
+  }
+
+  /** Returns the type of key digests. */
+  static ValueType digest() {
+    return text -> {
+      try {
+        return new KeyDigest(text).value().isEmpty() ? Optional.of("a digest") : Optional.empty();
+      } catch (IllegalArgumentException e) {
+        return Optional.of("a SHA-256 digest in 64 hexadecimal digits");
+      }
+    };
+  }
+}
--- /dev/null
+++ b/core/src/main/java/dev/toucanstall/core/state/Request.java
@@ -0,0 +1,63 @@
+package dev.toucanstall.core.state;
+
+import dev.toucanstall.core.event.Arrival;
+import dev.toucanstall.core.model.InstanceId;
+import dev.toucanstall.core.model.RequestKey;
+import dev.toucanstall.core.model.ServiceId;
+import dev.toucanstall.core.model.TeamId;
+import java.util.List;
+import java.util.stream.Stream;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * A request that this entry instance holds.
+ *
+ * @param number the instance's own number of it
+ * @param team the team it runs for
+ * @param service the service
+ * @param arrival what was asked
+ * @param arrivedAt when it arrived
+ * @param requestKey its id across submissions, null if the caller gave none
+ * @param failedOn the instances on which it failed, in order
+ * @param stage where it is
+ */
+public record Request(
+    long number,
+    TeamId team,
+    ServiceId service,
+    Arrival arrival,
+    long arrivedAt,
+    @Nullable RequestKey requestKey,
+    List<InstanceId> failedOn,
+    Stage stage) {
+
+  /**
+   * Returns the request in another stage.
+   *
+   * @param next the stage
+   * @return the new request
+   */
+  public Request in(Stage next) {
+    return new Request(number, team, service, arrival, arrivedAt, requestKey, failedOn, next);
+  }
+
+  /**
+   * Returns the request with one more instance on which it failed.
+   *
+   * @param instance the instance
+   * @return the new request
+   */
+  public Request failedOn(InstanceId instance) {
+    List<InstanceId> all = Stream.concat(failedOn.stream(), Stream.of(instance)).toList();
+    return new Request(number, team, service, arrival, arrivedAt, requestKey, all, stage);
+  }
+
+  /**
+   * Tells whether its id is claimed before it runs.
+   *
+   * @return true if it is non-idempotent and has an id
+   */
+  public boolean needsClaim() {
+    return !arrival.idempotent() && requestKey != null;
+  }
+}
--- /dev/null
+++ b/core/src/main/java/dev/toucanstall/core/state/Self.java
@@ -0,0 +1,66 @@
+package dev.toucanstall.core.state;
+
+import dev.toucanstall.core.model.Producer;
+import dev.toucanstall.core.record.Member;
+
+/**
+ * What an entry instance knows of itself.
+ *
+ * @param member its identity
+ * @param timing its durations
+ * @param life where it is in its life
+ * @param lifeSince since when, in nanoseconds of the monotonic clock
+ * @param startedAt when it started
+ * @param ready what it last told the balancer
+ */
+public record Self(
+    Member member, Timing timing, Life life, long lifeSince, long startedAt, boolean ready) {
+
+  /**
+   * Returns the name under which it writes records.
+   *
+   * @return the producer
+   */
+  public Producer producer() {
+    return new Producer(member.id().value(), member.incarnation());
+  }
+
+  /**
+   * Returns it in another part of its life.
+   *
+   * @param next the part
+   * @param at since when
+   * @return the new value
+   */
+  public Self withLife(Life next, long at) {
+    return new Self(member, timing, next, at, startedAt, ready);
+  }
+
+  /**
+   * Returns it with another word to the balancer.
+   *
+   * @param next the word
+   * @return the new value
+   */
+  public Self withReady(boolean next) {
+    return new Self(member, timing, life, lifeSince, startedAt, next);
+  }
+
+  /**
+   * Tells whether requests are still taken.
+   *
+   * @return true before the instance finishes what it has
+   */
+  public boolean takesRequests() {
+    return life == Life.SERVING || life == Life.LEAVING_BALANCER || life == Life.JOINING;
+  }
+
+  /**
+   * Tells whether a stop was asked for.
+   *
+   * @return true from the stop on
+   */
+  public boolean isStopping() {
+    return life != Life.JOINING && life != Life.SERVING;
+  }
+}
--- /dev/null
+++ b/core/src/main/java/dev/toucanstall/core/state/Slots.java
@@ -0,0 +1,111 @@
+package dev.toucanstall.core.state;
+
+import dev.toucanstall.core.peer.SlotKey;
+import java.util.Objects;
+import org.pcollections.HashPMap;
+import org.pcollections.HashTreePMap;
+
+/**
+ * The slots that this entry instance uses.
+ *
+ * @param uses the use of each kind of slots
+ * @param version the version of the split; a home share of another version is worked out anew
+ * @param clearedEpoch the newest epoch before which no member holds anything any more
+ * @param quarantineUntil before when an earlier start of this instance may still hold slots
+ * @param foldedEpochAt when this instance folded each epoch that is not yet cleared
+ * @param lastAsk the number of the last question for a loan or claim
+ */
+public record Slots(
+    HashPMap<SlotKey, SlotUse> uses,
+    long version,
+    long clearedEpoch,
+    long quarantineUntil,
+    HashPMap<Long, Long> foldedEpochAt,
+    long lastAsk) {
+
+  /** No slots. */
+  public static final Slots EMPTY =
+      new Slots(HashTreePMap.empty(), 0, -1, 0, HashTreePMap.empty(), 0);
+
+  /**
+   * Returns the use of one kind of slots.
+   *
+   * @param key the kind
+   * @return its use
+   */
+  public SlotUse get(SlotKey key) {
+    return Objects.requireNonNullElse(uses.get(key), SlotUse.EMPTY);
+  }
+
+  /**
+   * Returns the slots with one use replaced.
+   *
+   * @param key the kind
+   * @param use its use
+   * @return the new slots
+   */
+  public Slots with(SlotKey key, SlotUse use) {
+    return withUses(uses.plus(key, use));
+  }
+
+  /**
+   * Returns the slots with other uses.
+   *
+   * @param next the uses
+   * @return the new slots
+   */
+  public Slots withUses(HashPMap<SlotKey, SlotUse> next) {
+    return new Slots(next, version, clearedEpoch, quarantineUntil, foldedEpochAt, lastAsk);
+  }
+
+  /**
+   * Returns the slots with a new version of the split.
+   *
+   * @return the new slots
+   */
+  public Slots withNextVersion() {
+    return new Slots(uses, version + 1, clearedEpoch, quarantineUntil, foldedEpochAt, lastAsk);
+  }
+
+  /**
+   * Returns the slots with a newer cleared epoch.
+   *
+   * @param epoch the epoch
+   * @return the new slots
+   */
+  public Slots withCleared(long epoch) {
+    return new Slots(
+        uses, version + 1, epoch, quarantineUntil, foldedEpochAt.minus(epoch), lastAsk);
+  }
+
+  /**
+   * Returns the slots with the end of the quarantine.
+   *
+   * @param until its end
+   * @return the new slots
+   */
+  public Slots withQuarantine(long until) {
+    return new Slots(uses, version + 1, clearedEpoch, until, foldedEpochAt, lastAsk);
+  }
+
+  /**
+   * Returns the slots with the time at which an epoch was folded.
+   *
+   * @param epoch the epoch
+   * @param at the time
+   * @return the new slots
+   */
+  public Slots withEpochFolded(long epoch, long at) {
+    return new Slots(
+        uses, version + 1, clearedEpoch, quarantineUntil, foldedEpochAt.plus(epoch, at), lastAsk);
+  }
+
+  /**
+   * Returns the slots with the next number for a question.
+   *
+   * @return the new slots; {@link #lastAsk} is the number
+   */
+  public Slots withNextAsk() {
+    return new Slots(uses, version, clearedEpoch, quarantineUntil, foldedEpochAt, lastAsk + 1);
+  }
+}
--- /dev/null
+++ b/core/src/main/java/dev/toucanstall/core/state/Traffic.java
@@ -0,0 +1,173 @@
+package dev.toucanstall.core.state;
+
+import dev.toucanstall.core.model.InstanceId;
+import dev.toucanstall.core.model.PoolId;
+import dev.toucanstall.core.model.RequestKey;
+import dev.toucanstall.core.model.TeamId;
+import java.util.Comparator;
+import java.util.Objects;
+import org.jspecify.annotations.Nullable;
+import org.pcollections.HashPMap;
+import org.pcollections.HashTreePMap;
+import org.pcollections.TreePMap;
+import org.pcollections.TreePSet;
+
+/**
+ * The requests that this entry instance holds.
+ *
+ * @param requests the requests by number
+ * @param byKey the numbers of requests with an id, by that id
+ * @param claiming when the claims of requests that wait for them were asked for, by number
+ * @param pools the queues by pool
+ * @param abandoned attempts that may still run although their connection is gone
+ * @param retryTokens how many retries may be made, earned by first attempts
+ */
+public record Traffic(
+    HashPMap<Long, Request> requests,
+    HashPMap<RequestKey, Long> byKey,
+    TreePMap<Long, Long> claiming,
+    HashPMap<PoolId, PoolQueue> pools,
+    TreePSet<Abandoned> abandoned,
+    double retryTokens) {
+
+  /** Most retry tokens that can be saved. */
+  public static final double MAX_RETRY_TOKENS = 50;
+
+  /** Retry tokens earned by one first attempt. */
+  public static final double TOKENS_PER_ATTEMPT = 0.1;
+
+  /** No requests. */
+  public static final Traffic EMPTY =
+      new Traffic(
+          HashTreePMap.empty(),
+          HashTreePMap.empty(),
+          TreePMap.empty(),
+          HashTreePMap.empty(),
+          TreePSet.empty(),
+          MAX_RETRY_TOKENS);
+
+  /**
+   * An attempt that may still run on a backend server until its deadline.
+   *
+   * @param until its deadline
+   * @param number the request's number
+   * @param team the team
+   * @param instance the instance
+   */
+  public record Abandoned(long until, long number, TeamId team, InstanceId instance)
+      implements Comparable<Abandoned> {
+
+    private static final Comparator<Abandoned> ORDER =
+        Comparator.comparingLong(Abandoned::until)
+            .thenComparingLong(Abandoned::number)
+            .thenComparing(Abandoned::instance);
+
+    @Override
+    public int compareTo(Abandoned other) {
+      return ORDER.compare(this, other);
+    }
+  }
+
+  /**
+   * Returns a request.
+   *
+   * @param number its number
+   * @return the request, null if it is not held
+   */
+  public @Nullable Request get(long number) {
+    return requests.get(number);
+  }
+
+  /**
+   * Returns a pool's queue.
+   *
+   * @param pool the pool
+   * @return the queue, with nothing in it if the pool has no work
+   */
+  public PoolQueue pool(PoolId pool) {
+    return Objects.requireNonNullElse(pools.get(pool), PoolQueue.EMPTY);
+  }
+
+  /**
+   * Returns the traffic with a request added or replaced.
+   *
+   * @param request the request
+   * @return the new traffic
+   */
+  public Traffic with(Request request) {
+    RequestKey key = request.requestKey();
+    var index = key == null ? byKey : byKey.plus(key, request.number());
+    var claims = claimingWith(request);
+    return new Traffic(
+        requests.plus(request.number(), request), index, claims, pools, abandoned, retryTokens);
+  }
+
+  private TreePMap<Long, Long> claimingWith(Request request) {
+    if (request.stage() instanceof Stage.Claiming stage) {
+      return claiming.plus(request.number(), stage.askedAt());
+    }
+    return request.needsClaim() ? claiming.minus(request.number()) : claiming;
+  }
+
+  /**
+   * Returns the traffic without a request.
+   *
+   * @param request the request
+   * @return the new traffic
+   */
+  public Traffic without(Request request) {
+    long number = request.number();
+    RequestKey key = request.requestKey();
+    boolean indexed = key != null && Objects.equals(byKey.get(key), number);
+    return new Traffic(
+        requests.minus(number),
+        indexed ? byKey.minus(key) : byKey,
+        request.needsClaim() ? claiming.minus(number) : claiming,
+        pools,
+        abandoned,
+        retryTokens);
+  }
+
+  /**
+   * Returns the traffic with a pool's queue replaced.
+   *
+   * @param pool the pool
+   * @param queue its queue
+   * @return the new traffic
+   */
+  public Traffic withPool(PoolId pool, PoolQueue queue) {
+    return new Traffic(requests, byKey, claiming, pools.plus(pool, queue), abandoned, retryTokens);
+  }
+
+  /**
+   * Returns the traffic with other abandoned attempts.
+   *
+   * @param next the attempts
+   * @return the new traffic
+   */
+  public Traffic withAbandoned(TreePSet<Abandoned> next) {
+    return new Traffic(requests, byKey, claiming, pools, next, retryTokens);
+  }
+
+  /**
+   * Returns the traffic with retry tokens added or taken.
+   *
+   * @param change how many
+   * @return the new traffic
+   */
+  public Traffic withTokens(double change) {
+    double next = Math.min(MAX_RETRY_TOKENS, retryTokens + change);
+    return next == retryTokens
+        ? this
+        : new Traffic(requests, byKey, claiming, pools, abandoned, next);
+  }
+
+  /**
+   * Tells whether nothing is held and nothing abandoned may still run.
+   *
+   * @return true if so
+   */
+  public boolean isIdle() {
+    return requests.isEmpty() && abandoned.isEmpty();
+  }
+}
--- /dev/null
+++ b/entry/src/main/java/dev/toucanstall/entry/package-info.java
@@ -0,0 +1,5 @@
+/** Placeholder. */
+@NullMarked
+package dev.toucanstall.entry;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/runtime/src/main/java/dev/toucanstall/runtime/package-info.java
@@ -0,0 +1,5 @@
+/** Placeholder. */
+@NullMarked
+package dev.toucanstall.runtime;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/testbed/src/main/java/dev/toucanstall/testbed/package-info.java
@@ -0,0 +1,5 @@
+/** Placeholder. */
+@NullMarked
+package dev.toucanstall.testbed;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/wire/src/main/java/dev/toucanstall/wire/package-info.java
@@ -0,0 +1,5 @@
+/** Placeholder. */
+@NullMarked
+package dev.toucanstall.wire;
+
+import org.jspecify.annotations.NullMarked;
