Run the whole path as separate processes

Cause: the core had no processes around it, so no request could pass. Ruled out: decoding peer frames with trailing-token checks (the MessagePack parser reports the end of a frame as an error, seen as JsonEOFException on the first heartbeat; links flapped).

--- /dev/null
+++ b/cli/src/main/java/dev/toucanstall/cli/command/package-info.java
@@ -0,0 +1,5 @@
+/** The commands of operators. */
+@NullMarked
+package dev.toucanstall.cli.command;
+
+import org.jspecify.annotations.NullMarked;
--- a/cli/src/main/java/dev/toucanstall/cli/package-info.java
+++ /dev/null
@@ -1,5 +0,0 @@
-/** Placeholder. */
-@NullMarked
-package dev.toucanstall.cli;
-
-import org.jspecify.annotations.NullMarked;
--- a/core/src/main/java/dev/toucanstall/core/effect/Effect.java
+++ b/core/src/main/java/dev/toucanstall/core/effect/Effect.java
@@ -2,6 +2,7 @@
 
 import dev.toucanstall.core.fold.Folded;
 import dev.toucanstall.core.model.Address;
+import dev.toucanstall.core.model.Ending;
 import dev.toucanstall.core.model.InstanceId;
 import dev.toucanstall.core.model.MemberId;
 import dev.toucanstall.core.model.Producer;
@@ -20,13 +21,19 @@
    * Sends a request to a backend server.
    *
    * @param number the request's number
+   * @param team the team that it runs for
    * @param instance the instance
    * @param address where its backend server listens
    * @param validUntil the last moment at which the first byte may be sent
    * @param deadline when the attempt ends at the latest
    */
   record StartAttempt(
-      long number, InstanceId instance, Address address, long validUntil, long deadline)
+      long number,
+      TeamId team,
+      InstanceId instance,
+      Address address,
+      long validUntil,
+      long deadline)
       implements Effect {}
 
   /**
@@ -123,10 +130,16 @@
    * @param service the service
    * @param waitedNanos from arrival to start, or to the refusal
    * @param started whether it started
-   * @param reason "ok", "late" or the code of a refusal
+   * @param ending what its end means for the objective
+   * @param reason "ok", "error-answer", "answer-broken" or the code of a refusal
    */
   record CountRequest(
-      TeamId team, ServiceId service, long waitedNanos, boolean started, String reason)
+      TeamId team,
+      ServiceId service,
+      long waitedNanos,
+      boolean started,
+      Ending ending,
+      String reason)
       implements Effect {}
 
   /**
--- a/core/src/main/java/dev/toucanstall/core/fold/FleetFold.java
+++ b/core/src/main/java/dev/toucanstall/core/fold/FleetFold.java
@@ -35,7 +35,7 @@
     if (known == null) {
       PoolId placed = state.settings().placements().get(observation.id());
       return new FleetInstance(
-          observation, placed == null ? UNPLACED : placed, Phase.SERVING, null);
+          observation, placed == null ? UNPLACED : placed, Phase.serving(), null);
     }
     if (observation.incarnation() < known.observed().incarnation()) {
       return known;
@@ -94,7 +94,8 @@
       return FoldStep.refused(
           state, "instance \"%s\" does not drain".formatted(cancelled.instance()));
     }
-    return FoldStep.applied(state.withFleet(state.fleet().with(instance.withPhase(Phase.SERVING))));
+    return FoldStep.applied(
+        state.withFleet(state.fleet().with(instance.withPhase(Phase.serving()))));
   }
 
   /** Notes that a drain is complete. */
--- a/core/src/main/java/dev/toucanstall/core/fold/FleetInstance.java
+++ b/core/src/main/java/dev/toucanstall/core/fold/FleetInstance.java
@@ -53,7 +53,7 @@
    * @return the new instance
    */
   public FleetInstance movedTo(PoolId next) {
-    return new FleetInstance(observed, next, Phase.SERVING, lastWave);
+    return new FleetInstance(observed, next, Phase.serving(), lastWave);
   }
 
   /**
@@ -73,6 +73,6 @@
    * @return the new instance
    */
   public FleetInstance returnedFrom(@Nullable WaveId wave) {
-    return new FleetInstance(observed, pool, Phase.SERVING, wave == null ? lastWave : wave);
+    return new FleetInstance(observed, pool, Phase.serving(), wave == null ? lastWave : wave);
   }
 }
--- a/core/src/main/java/dev/toucanstall/core/fold/Fold.java
+++ b/core/src/main/java/dev/toucanstall/core/fold/Fold.java
@@ -35,7 +35,7 @@
   private static FoldStep decide(Folded state, LogEntry entry) {
     Folded moved = state.at(entry.offset());
     if (state.hasFolded(entry.producer(), entry.sequence())) {
-      return new FoldStep(moved, Outcome.REPEATED);
+      return new FoldStep(moved, new Outcome.Repeated());
     }
     Folded marked = moved.withProducer(entry.producer(), entry.sequence(), entry.offset());
     return dispatch(marked, entry);
--- a/core/src/main/java/dev/toucanstall/core/fold/FoldStep.java
+++ b/core/src/main/java/dev/toucanstall/core/fold/FoldStep.java
@@ -10,7 +10,7 @@
 
   /** Makes the step of a record that took effect. */
   static FoldStep applied(Folded state) {
-    return new FoldStep(state, Outcome.APPLIED);
+    return new FoldStep(state, new Outcome.Applied());
   }
 
   /** Makes the step of a record that no longer fits. */
--- a/core/src/main/java/dev/toucanstall/core/fold/Folded.java
+++ b/core/src/main/java/dev/toucanstall/core/fold/Folded.java
@@ -53,18 +53,44 @@
           0);
 
   /**
-   * The last record of a producer.
+   * The last records of a producer. Records may arrive out of order within {@value #WINDOW}
+   * numbers; older numbers count as repeats.
    *
    * @param incarnation the producer's last start
-   * @param sequence the last sequence number of that start
-   * @param offset the offset of that record
+   * @param highest the highest sequence number of that start
+   * @param seen a bit for each of the last numbers: bit n stands for {@code highest - n}
+   * @param offset the offset of its last record
    */
-  public record ProducerMark(long incarnation, long sequence, long offset) {
+  public record ProducerMark(long incarnation, long highest, long seen, long offset) {
+
+    /** How many numbers back an unseen record is still taken. */
+    public static final int WINDOW = 64;
 
     /** Tells whether a record of the producer was folded already. */
     boolean covers(Producer producer, long number) {
-      return producer.incarnation() < incarnation
-          || (producer.incarnation() == incarnation && number <= sequence);
+      if (producer.incarnation() != incarnation) {
+        return producer.incarnation() < incarnation;
+      }
+      long back = highest - number;
+      return back >= WINDOW || (back >= 0 && (seen >>> back & 1) == 1);
+    }
+
+    /** Returns the mark with one more record seen. */
+    ProducerMark plus(Producer producer, long number, long at) {
+      if (producer.incarnation() != incarnation) {
+        return first(producer, number, at);
+      }
+      long ahead = number - highest;
+      if (ahead <= 0) {
+        return new ProducerMark(incarnation, highest, seen | 1L << -ahead, at);
+      }
+      long shifted = ahead >= WINDOW ? 0 : seen << ahead;
+      return new ProducerMark(incarnation, number, shifted | 1, at);
+    }
+
+    /** Returns the mark of a producer's first record. */
+    static ProducerMark first(Producer producer, long number, long at) {
+      return new ProducerMark(producer.incarnation(), number, 1, at);
     }
   }
 
@@ -148,7 +174,11 @@
 
   /** Returns the state with a producer's last record noted; the oldest producer may be dropped. */
   Folded withProducer(Producer producer, long sequence, long at) {
-    ProducerMark mark = new ProducerMark(producer.incarnation(), sequence, at);
+    ProducerMark known = producers.get(producer.name());
+    ProducerMark mark =
+        known == null
+            ? ProducerMark.first(producer, sequence, at)
+            : known.plus(producer, sequence, at);
     TreePMap<String, ProducerMark> next = producers.plus(producer.name(), mark);
     if (next.size() > KEPT_PRODUCERS) {
       next = next.minus(oldest(next));
--- a/core/src/main/java/dev/toucanstall/core/fold/Outcome.java
+++ b/core/src/main/java/dev/toucanstall/core/fold/Outcome.java
@@ -18,12 +18,6 @@
    */
   record Refused(String why) implements Outcome {}
 
-  /** The single value of {@link Applied}. */
-  Outcome APPLIED = new Applied();
-
-  /** The single value of {@link Repeated}. */
-  Outcome REPEATED = new Repeated();
-
   /**
    * Returns why the record was refused.
    *
--- a/core/src/main/java/dev/toucanstall/core/fold/Phase.java
+++ b/core/src/main/java/dev/toucanstall/core/fold/Phase.java
@@ -25,8 +25,14 @@
    */
   record Empty(long since, DrainReason reason, long incarnation) implements Phase {}
 
-  /** The single value of {@link Serving}. */
-  Phase SERVING = new Serving();
+  /**
+   * Returns the phase of an instance that serves.
+   *
+   * @return the phase
+   */
+  static Phase serving() {
+    return new Serving();
+  }
 
   /**
    * Tells whether the instance takes new work.
--- a/core/src/main/java/dev/toucanstall/core/model/RefusalCode.java
+++ b/core/src/main/java/dev/toucanstall/core/model/RefusalCode.java
@@ -50,6 +50,34 @@
     return text;
   }
 
+  /**
+   * Tells whether the reason lies with the caller.
+   *
+   * @return true for missing and withdrawn keys, unknown names, malformed, repeated and cancelled
+   *     requests
+   */
+  public boolean isCallersFault() {
+    return switch (this) {
+      case KEY_MISSING,
+          KEY_UNKNOWN,
+          SERVICE_UNKNOWN,
+          REQUEST_MALFORMED,
+          BODY_TOO_LARGE,
+          DUPLICATE,
+          CANCELLED ->
+          true;
+      case QUEUE_FULL,
+          TOO_LATE,
+          CUT_OFF,
+          STOPPING,
+          NO_INSTANCE,
+          CLAIM_UNAVAILABLE,
+          BACKEND_FAILED,
+          BACKEND_TIMEOUT ->
+          false;
+    };
+  }
+
   /**
    * Returns the HTTP status that goes with the code.
    *
--- a/core/src/main/java/dev/toucanstall/core/reduce/AttemptReducer.java
+++ b/core/src/main/java/dev/toucanstall/core/reduce/AttemptReducer.java
@@ -96,7 +96,7 @@
             : HealthRules.endedInError(state, request, instance, now);
     String reason = answered.complete() ? (good ? "ok" : "error-answer") : "answer-broken";
     return judged
-        .then(s -> finish(s, request, true, reason, now))
+        .then(s -> finish(s, request, good, reason, now))
         .plus(new Effect.EndRequest(request.number()));
   }
 
@@ -108,7 +108,7 @@
       return again(spent, failed, now);
     }
     return HealthRules.endedInError(state, failed, instance, now)
-        .then(s -> finish(s, request, true, "error-answer", now))
+        .then(s -> finish(s, request, false, "error-answer", now))
         .plus(new Effect.PassErrorAnswer(request.number()));
   }
 
@@ -129,7 +129,7 @@
       return judged.then(s -> RequestRules.refuse(s, failed, refusal, now));
     }
     return judged
-        .then(s -> finish(s, request, true, failure.code().text(), now))
+        .then(s -> finish(s, request, false, failure.code().text(), now))
         .plus(new Effect.Refuse(request.number(), refusal));
   }
 
@@ -148,12 +148,11 @@
   }
 
   private static Step finish(
-      State state, Request request, boolean started, String reason, long now) {
+      State state, Request request, boolean succeeded, String reason, long now) {
     long since = request.stage() instanceof Stage.Running running ? running.since() : now;
     return Step.of(
         state.withTraffic(state.traffic().without(request)),
-        new Effect.CountRequest(
-            request.team(), request.service(), since - request.arrivedAt(), started, reason));
+        RequestRules.countRun(state, request, since, succeeded, reason));
   }
 
   /** Frees the slots of abandoned attempts whose deadline has passed. */
--- a/core/src/main/java/dev/toucanstall/core/reduce/Pump.java
+++ b/core/src/main/java/dev/toucanstall/core/reduce/Pump.java
@@ -153,6 +153,7 @@
         HealthRules.started(counted, id),
         new Effect.StartAttempt(
             request.number(),
+            request.team(),
             id,
             instance.observed().address(),
             validUntil,
--- a/core/src/main/java/dev/toucanstall/core/reduce/RequestReducer.java
+++ b/core/src/main/java/dev/toucanstall/core/reduce/RequestReducer.java
@@ -3,6 +3,7 @@
 import dev.toucanstall.core.effect.Effect;
 import dev.toucanstall.core.event.Arrival;
 import dev.toucanstall.core.event.Event;
+import dev.toucanstall.core.model.Ending;
 import dev.toucanstall.core.model.KeyDigest;
 import dev.toucanstall.core.model.MemberId;
 import dev.toucanstall.core.model.Names;
@@ -101,10 +102,11 @@
             .resolve(team, arrived.arrival().service())
             .map(Service::id)
             .orElse(UNKNOWN_SERVICE);
+    Ending ending = refusal.code().isCallersFault() ? Ending.CALLERS_FAULT : Ending.BAD;
     return Step.of(
         state,
         new Effect.Refuse(arrived.number(), refusal),
-        new Effect.CountRequest(team, service, 0, false, refusal.code().text()));
+        new Effect.CountRequest(team, service, 0, false, ending, refusal.code().text()));
   }
 
   private static Step unknownName(State state, Event.RequestArrived arrived, TeamId team) {
--- a/core/src/main/java/dev/toucanstall/core/reduce/RequestRules.java
+++ b/core/src/main/java/dev/toucanstall/core/reduce/RequestRules.java
@@ -2,17 +2,21 @@
 
 import dev.toucanstall.core.effect.Effect;
 import dev.toucanstall.core.fold.Folded;
+import dev.toucanstall.core.model.Ending;
 import dev.toucanstall.core.model.InstanceId;
 import dev.toucanstall.core.model.PoolId;
 import dev.toucanstall.core.model.Refusal;
 import dev.toucanstall.core.model.RefusalCode;
+import dev.toucanstall.core.model.Urgency;
 import dev.toucanstall.core.peer.SlotKey;
+import dev.toucanstall.core.settings.Objective;
 import dev.toucanstall.core.settings.Service;
 import dev.toucanstall.core.state.PoolQueue;
 import dev.toucanstall.core.state.Request;
 import dev.toucanstall.core.state.Stage;
 import dev.toucanstall.core.state.State;
 import dev.toucanstall.core.state.Traffic;
+import java.time.Duration;
 
 /** What several families of events do with requests. Stateless. */
 final class RequestRules {
@@ -81,15 +85,29 @@
         Step.of(
             left,
             new Effect.Refuse(request.number(), refusal),
-            new Effect.CountRequest(
-                request.team(),
-                request.service(),
-                now - request.arrivedAt(),
-                false,
-                refusal.code().text()));
+            countRefused(request, refusal.code(), now));
     return request.needsClaim() ? step.then(s -> ClaimReducer.release(s, request, now)) : step;
   }
 
+  /** Counts the end of a request that was refused. */
+  static Effect countRefused(Request request, RefusalCode code, long now) {
+    Ending ending = code.isCallersFault() ? Ending.CALLERS_FAULT : Ending.BAD;
+    return new Effect.CountRequest(
+        request.team(), request.service(), now - request.arrivedAt(), false, ending, code.text());
+  }
+
+  /** Counts the end of a request that ran; batch work is never late. */
+  static Effect countRun(
+      State state, Request request, long startedAt, boolean succeeded, String reason) {
+    long waited = startedAt - request.arrivedAt();
+    Objective objective = state.folded().settings().objective(request.team());
+    boolean inTime =
+        request.arrival().urgency() == Urgency.BATCH
+            || waited <= Duration.ofMillis(objective.startMillis()).toNanos();
+    Ending ending = succeeded ? (inTime ? Ending.GOOD : Ending.LATE) : Ending.BAD;
+    return new Effect.CountRequest(request.team(), request.service(), waited, true, ending, reason);
+  }
+
   /** Takes a request out of the queue that it waits in, if any. */
   static Traffic leave(Traffic traffic, Request request) {
     return request.stage() instanceof Stage.Waiting waiting
--- a/core/src/main/java/dev/toucanstall/core/reduce/SlotRules.java
+++ b/core/src/main/java/dev/toucanstall/core/reduce/SlotRules.java
@@ -38,7 +38,9 @@
   private static State change(State state, SlotKey key, int by, long now) {
     SlotUse use = current(state, key, now);
     Invariants.check(
-        use.running() + by >= 0, "slots-not-negative", () -> key + " would run " + (-by));
+        use.running() + by >= 0,
+        "slots-not-negative",
+        () -> key + " would run " + (use.running() + by));
     return state.withSlots(state.slots().with(key, use.withRunning(use.running() + by)));
   }
 }
--- a/core/src/main/java/dev/toucanstall/core/settings/Settings.java
+++ b/core/src/main/java/dev/toucanstall/core/settings/Settings.java
@@ -83,6 +83,17 @@
     return known == null ? Team.DEFAULT_LIMIT : known.limit();
   }
 
+  /**
+   * Returns a team's objective.
+   *
+   * @param team the team, need not be known
+   * @return what its service level is measured against
+   */
+  public Objective objective(TeamId team) {
+    Team known = teams.get(team);
+    return known == null ? Objective.DEFAULT : known.objective();
+  }
+
   /**
    * Lists references to services and pools that do not exist.
    *
--- a/core/src/main/java/dev/toucanstall/core/settings/SettingsReader.java
+++ b/core/src/main/java/dev/toucanstall/core/settings/SettingsReader.java
@@ -29,47 +29,47 @@
    * @return the typed settings
    */
   public static Settings read(SettingsTree tree) {
-    Map<String, TreeMap<String, Fields>> kinds = group(tree);
+    Map<String, Map<String, Fields>> kinds = group(tree);
     TreePMap<TeamId, Team> teams = TreePMap.empty();
     HashPMap<KeyDigest, KeyGrant> keys = HashTreePMap.empty();
-    for (var entry : kinds.getOrDefault("teams", new TreeMap<>()).entrySet()) {
+    for (var entry : kinds.getOrDefault("teams", Map.of()).entrySet()) {
       Team team = team(new TeamId(entry.getKey()), entry.getValue());
       teams = teams.plus(team.id(), team);
       keys = keys.plusAll(keys(team.id(), entry.getValue()));
     }
     TreePMap<ServiceId, Service> services = TreePMap.empty();
-    for (var entry : kinds.getOrDefault("services", new TreeMap<>()).entrySet()) {
+    for (var entry : kinds.getOrDefault("services", Map.of()).entrySet()) {
       Service service = service(new ServiceId(entry.getKey()), entry.getValue());
       services = services.plus(service.id(), service);
     }
     TreePMap<PoolId, Pool> pools = TreePMap.empty();
-    for (var entry : kinds.getOrDefault("pools", new TreeMap<>()).entrySet()) {
+    for (var entry : kinds.getOrDefault("pools", Map.of()).entrySet()) {
       Pool pool = pool(new PoolId(entry.getKey()), entry.getValue());
       pools = pools.plus(pool.id(), pool);
     }
     TreePMap<WaveId, Wave> waves = TreePMap.empty();
-    for (var entry : kinds.getOrDefault("waves", new TreeMap<>()).entrySet()) {
+    for (var entry : kinds.getOrDefault("waves", Map.of()).entrySet()) {
       Wave wave = wave(new WaveId(entry.getKey()), entry.getValue());
       waves = waves.plus(wave.id(), wave);
     }
     TreePMap<InstanceId, PoolId> placements = TreePMap.empty();
-    for (var entry : kinds.getOrDefault("instances", new TreeMap<>()).entrySet()) {
+    for (var entry : kinds.getOrDefault("instances", Map.of()).entrySet()) {
       PoolId pool = new PoolId(entry.getValue().text("pool", NO_POOL));
       placements = placements.plus(new InstanceId(entry.getKey()), pool);
     }
     return new Settings(teams, services, pools, waves, keys, placements);
   }
 
-  private static Map<String, TreeMap<String, Fields>> group(SettingsTree tree) {
-    Map<String, TreeMap<String, Fields>> kinds = new TreeMap<>();
+  private static Map<String, Map<String, Fields>> group(SettingsTree tree) {
+    Map<String, Map<String, Fields>> kinds = new TreeMap<>();
     tree.leaves().forEach((text, leaf) -> group(kinds, text, leaf.value()));
     return kinds;
   }
 
-  private static void group(Map<String, TreeMap<String, Fields>> kinds, String path, String value) {
+  private static void group(Map<String, Map<String, Fields>> kinds, String path, String value) {
     var segments = SettingsPath.parse(path).segments();
     String field = String.join("/", segments.subList(2, segments.size()));
-    TreeMap<String, Fields> kind = kinds.computeIfAbsent(segments.get(0), k -> new TreeMap<>());
+    Map<String, Fields> kind = kinds.computeIfAbsent(segments.get(0), k -> new TreeMap<>());
     Fields fields = kind.computeIfAbsent(segments.get(1), name -> new Fields(new TreeMap<>()));
     fields.values.put(field, value);
   }
--- /dev/null
+++ b/entry/src/main/java/dev/toucanstall/entry/config/package-info.java
@@ -0,0 +1,5 @@
+/** The settings file of an entry instance. */
+@NullMarked
+package dev.toucanstall.entry.config;
+
+import org.jspecify.annotations.NullMarked;
--- a/entry/src/main/java/dev/toucanstall/entry/package-info.java
+++ /dev/null
@@ -1,5 +0,0 @@
-/** Placeholder. */
-@NullMarked
-package dev.toucanstall.entry;
-
-import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/entry/src/main/java/dev/toucanstall/entry/traffic/LimitedInputStream.java
@@ -0,0 +1,47 @@
+package dev.toucanstall.entry.traffic;
+
+import java.io.FilterInputStream;
+import java.io.IOException;
+import java.io.InputStream;
+
+/** A stream that fails once more than a number of bytes were read. Not thread-safe. */
+final class LimitedInputStream extends FilterInputStream {
+
+  private long left;
+
+  /** Thrown when the body is larger than the limit. */
+  static final class BodyTooLargeException extends IOException {
+
+    private static final long serialVersionUID = 1L;
+
+    BodyTooLargeException() {
+      super("body is larger than the limit");
+    }
+  }
+
+  LimitedInputStream(InputStream in, long limit) {
+    super(in);
+    this.left = limit;
+  }
+
+  @Override
+  public int read() throws IOException {
+    int value = super.read();
+    count(value < 0 ? 0 : 1);
+    return value;
+  }
+
+  @Override
+  public int read(byte[] bytes, int offset, int length) throws IOException {
+    int count = super.read(bytes, offset, length);
+    count(Math.max(0, count));
+    return count;
+  }
+
+  private void count(int bytes) throws IOException {
+    left -= bytes;
+    if (left < 0) {
+      throw new BodyTooLargeException();
+    }
+  }
+}
--- /dev/null
+++ b/runtime/src/main/java/dev/toucanstall/runtime/http/Answer.java
@@ -0,0 +1,34 @@
+package dev.toucanstall.runtime.http;
+
+/**
+ * An answer to an HTTP request.
+ *
+ * @param status the HTTP status
+ * @param type the media type
+ * @param body the body
+ */
+public record Answer(int status, String type, String body) {
+
+  private static final int OK = 200;
+
+  /**
+   * Makes an answer in JSON with status 200.
+   *
+   * @param body the JSON text
+   * @return the answer
+   */
+  public static Answer json(String body) {
+    return new Answer(OK, "application/json", body);
+  }
+
+  /**
+   * Makes a plain answer.
+   *
+   * @param status the HTTP status
+   * @param body the text
+   * @return the answer
+   */
+  public static Answer text(int status, String body) {
+    return new Answer(status, "text/plain; charset=utf-8", body);
+  }
+}
--- /dev/null
+++ b/runtime/src/main/java/dev/toucanstall/runtime/http/HttpServers.java
@@ -0,0 +1,53 @@
+package dev.toucanstall.runtime.http;
+
+import dev.toucanstall.core.model.Address;
+import org.eclipse.jetty.server.Handler;
+import org.eclipse.jetty.server.HttpConfiguration;
+import org.eclipse.jetty.server.HttpConnectionFactory;
+import org.eclipse.jetty.server.Server;
+import org.eclipse.jetty.server.ServerConnector;
+import org.eclipse.jetty.util.VirtualThreads;
+import org.eclipse.jetty.util.thread.QueuedThreadPool;
+
+/** Makes Jetty servers whose handlers run on virtual threads. Stateless and thread-safe. */
+public final class HttpServers {
+
+  private static final int MAX_THREADS = 32;
+  private static final int MIN_THREADS = 4;
+
+  private HttpServers() {}
+
+  /**
+   * Makes a thread pool whose blocking tasks run on virtual threads.
+   *
+   * @param name the prefix of its threads' names
+   * @return the pool
+   */
+  public static QueuedThreadPool threads(String name) {
+    QueuedThreadPool threads = new QueuedThreadPool(MAX_THREADS, MIN_THREADS);
+    threads.setName(name);
+    threads.setVirtualThreadsExecutor(VirtualThreads.getDefaultVirtualThreadsExecutor());
+    return threads;
+  }
+
+  /**
+   * Makes a server of plain HTTP/1.1; it is not started.
+   *
+   * @param name the prefix of its threads' names
+   * @param address where it listens
+   * @param handler answers the requests
+   * @return the server
+   */
+  public static Server plain(String name, Address address, Handler handler) {
+    Server server = new Server(threads(name));
+    HttpConfiguration configuration = new HttpConfiguration();
+    configuration.setSendServerVersion(false);
+    ServerConnector connector =
+        new ServerConnector(server, 1, 1, new HttpConnectionFactory(configuration));
+    connector.setHost(address.host());
+    connector.setPort(address.port());
+    server.addConnector(connector);
+    server.setHandler(handler);
+    return server;
+  }
+}
--- a/runtime/src/main/java/dev/toucanstall/runtime/package-info.java
+++ /dev/null
@@ -1,5 +0,0 @@
-/** Placeholder. */
-@NullMarked
-package dev.toucanstall.runtime;
-
-import org.jspecify.annotations.NullMarked;
--- a/testbed/src/main/java/dev/toucanstall/testbed/package-info.java
+++ b/testbed/src/main/java/dev/toucanstall/testbed/package-info.java
@@ -1,4 +1,4 @@
-/** Placeholder. */
+/** The testbed: stand-ins, the load tool and benchmarks, as commands. Not shipped. */
 @NullMarked
 package dev.toucanstall.testbed;
 
--- /dev/null
+++ b/testbed/src/main/java/dev/toucanstall/testbed/platform/PlatformServer.java
@@ -0,0 +1,175 @@
+package dev.toucanstall.testbed.platform;
+
+import dev.toucanstall.core.model.Address;
+import dev.toucanstall.core.model.InstanceId;
+import dev.toucanstall.core.record.Condition;
+import dev.toucanstall.core.record.Observation;
+import dev.toucanstall.runtime.http.Answer;
+import dev.toucanstall.runtime.http.Call;
+import dev.toucanstall.runtime.http.HttpCalls;
+import dev.toucanstall.runtime.http.HttpServers;
+import dev.toucanstall.runtime.http.Route;
+import dev.toucanstall.runtime.http.RouteHandler;
+import dev.toucanstall.runtime.log.LogLine;
+import dev.toucanstall.runtime.loop.Asks;
+import dev.toucanstall.runtime.loop.ControlLoop;
+import dev.toucanstall.wire.Decoded;
+import dev.toucanstall.wire.json.JsonCodec;
+import java.io.IOException;
+import java.time.Duration;
+import java.util.List;
+import java.util.function.LongFunction;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+import org.eclipse.jetty.server.Server;
+
+/** The stand-in for the platform as an HTTP server. Thread-safe. */
+public final class PlatformServer implements AutoCloseable {
+
+  private static final Logger LOG = LogManager.getLogger(PlatformServer.class);
+  private static final JsonCodec<Observation> OBSERVATION = JsonCodec.of(Observation.class);
+  private static final Duration PATIENCE = Duration.ofSeconds(20);
+  private static final Duration TICK = Duration.ofMillis(20);
+  private static final int BAD_REQUEST = 400;
+  private static final int UNAVAILABLE = 503;
+  private static final int MAX_RECORDS = 1_000;
+
+  private final Asks<PlatformEffect.Reply> asks = new Asks<>();
+  private final HttpCalls calls = new HttpCalls("restarts");
+  private final ControlLoop<PlatformState, PlatformEvent, PlatformEffect> loop;
+  private final Server server;
+
+  /**
+   * Starts the server.
+   *
+   * @param address where it listens
+   * @param retention how many records the log keeps
+   * @param listLag how far the list lags behind
+   * @throws IOException if the address is in use
+   */
+  public PlatformServer(Address address, int retention, Duration listLag) throws IOException {
+    loop =
+        new ControlLoop<>(
+            "platform",
+            PlatformState.empty(retention),
+            new PlatformReducer(listLag)::reduce,
+            this::carryOut,
+            (event, e) -> LogLine.of("platform-failed").error(LOG, e),
+            TICK,
+            PlatformEvent.Tick::new);
+    server = HttpServers.plain("platform", address, new RouteHandler(routes()));
+    loop.start();
+    try {
+      server.start();
+    } catch (Exception e) {
+      throw new IOException("platform did not start at " + address, e);
+    }
+  }
+
+  private List<Route> routes() {
+    return List.of(
+        new Route("POST", "/append", this::append),
+        new Route("GET", "/read", this::read),
+        new Route("GET", "/instances", c -> ask(h -> new PlatformEvent.ShowList(now(), h))),
+        new Route("POST", "/register", this::register),
+        new Route("POST", "/announce", this::announce),
+        new Route("POST", "/instances/", this::restart),
+        new Route("POST", "/fault", this::fault));
+  }
+
+  private Answer ask(LongFunction<PlatformEvent> event) throws InterruptedException {
+    PlatformEffect.Reply reply = asks.ask(h -> loop.post(event.apply(h)), PATIENCE);
+    if (reply == null) {
+      return Answer.text(UNAVAILABLE, "no answer");
+    }
+    if (reply.delayMillis() > 0) {
+      Thread.sleep(reply.delayMillis());
+    }
+    return new Answer(reply.status(), "application/json", reply.body());
+  }
+
+  private Answer append(Call call) throws InterruptedException {
+    return ask(h -> new PlatformEvent.Append(now(), h, call.body()));
+  }
+
+  private Answer read(Call call) throws InterruptedException {
+    long wait = Duration.ofMillis(call.number("wait", 0)).toNanos();
+    int max = Math.clamp(call.number("max", MAX_RECORDS), 1, MAX_RECORDS);
+    return ask(
+        h -> new PlatformEvent.Read(now(), h, Math.max(0, call.number("from", 0)), max, wait));
+  }
+
+  private Answer register(Call call) throws InterruptedException {
+    String control = call.query().getOrDefault("control", "");
+    return switch (OBSERVATION.decode(call.body())) {
+      case Decoded.Value<Observation> value ->
+          ask(h -> new PlatformEvent.Register(now(), h, value.value(), control));
+      case Decoded.Malformed<Observation> malformed -> Answer.text(BAD_REQUEST, malformed.why());
+    };
+  }
+
+  private Answer announce(Call call) throws InterruptedException {
+    String condition = call.query().getOrDefault("condition", "");
+    if (!PlatformReducer.isCondition(condition)) {
+      return Answer.text(BAD_REQUEST, "condition is not UP, LEAVING or DOWN");
+    }
+    InstanceId instance = new InstanceId(call.query().getOrDefault("instance", "none"));
+    return ask(h -> new PlatformEvent.Announce(now(), h, instance, Condition.valueOf(condition)));
+  }
+
+  private Answer restart(Call call) throws InterruptedException {
+    String[] parts = call.path().split("/", -1);
+    InstanceId instance = new InstanceId(parts[2]);
+    return ask(h -> new PlatformEvent.Restart(now(), h, instance, call.number("incarnation", 0)));
+  }
+
+  private Answer fault(Call call) throws InterruptedException {
+    long nanos = Duration.ofMillis(call.number("ms", 0)).toNanos();
+    String kind = call.query().getOrDefault("kind", "");
+    return ask(h -> new PlatformEvent.Fault(now(), h, kind, nanos));
+  }
+
+  private void carryOut(PlatformEffect effect) {
+    switch (effect) {
+      case PlatformEffect.Reply reply -> asks.answer(reply.handle(), reply);
+      case PlatformEffect.RestartAt restart -> Thread.ofVirtual().start(() -> restartAt(restart));
+    }
+  }
+
+  private void restartAt(PlatformEffect.RestartAt restart) {
+    try {
+      calls.send(
+          "POST",
+          restart.control() + "/restart?instance=" + restart.instance(),
+          Duration.ofSeconds(2));
+    } catch (IOException e) {
+      LogLine.of("restart-failed").with("instance", restart.instance()).warn(LOG);
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+  }
+
+  private static long now() {
+    return System.nanoTime();
+  }
+
+  /**
+   * Waits until the process ends.
+   *
+   * @throws InterruptedException if the thread is interrupted
+   */
+  public void awaitStop() throws InterruptedException {
+    server.join();
+  }
+
+  @Override
+  public void close() {
+    try {
+      server.stop();
+    } catch (Exception e) {
+      LogLine.of("stop-failed").error(LOG, e);
+    }
+    loop.close();
+    calls.close();
+  }
+}
--- /dev/null
+++ b/testbed/src/main/java/dev/toucanstall/testbed/worker/WorkerState.java
@@ -0,0 +1,114 @@
+package dev.toucanstall.testbed.worker;
+
+import org.pcollections.HashPMap;
+import org.pcollections.HashTreePMap;
+import org.pcollections.TreePMap;
+
+/**
+ * The state of all stand-ins for backend servers of one process. Immutable.
+ *
+ * @param servers the backend servers by index
+ * @param runs how often each request id ran to its end
+ * @param teams most requests of each team that ran at once here
+ * @param runningTeams requests of each team that run now
+ */
+record WorkerState(
+    TreePMap<Integer, Backend> servers,
+    HashPMap<String, Integer> runs,
+    TreePMap<String, Integer> teams,
+    TreePMap<String, Integer> runningTeams) {
+
+  static WorkerState of(int count) {
+    TreePMap<Integer, Backend> servers = TreePMap.empty();
+    for (int i = 0; i < count; i++) {
+      servers = servers.plus(i, Backend.STARTED);
+    }
+    return new WorkerState(servers, HashTreePMap.empty(), TreePMap.empty(), TreePMap.empty());
+  }
+
+  /**
+   * One backend server.
+   *
+   * @param incarnation which start of it this is
+   * @param running requests that run now
+   * @param mostRunning the most that ever ran at once
+   * @param started how many were started
+   * @param ended how many ran to their end
+   * @param cutByRestart how many ran when it was restarted
+   * @param fault what it does wrong
+   * @param downUntil until when it is restarting
+   */
+  record Backend(
+      long incarnation,
+      int running,
+      int mostRunning,
+      long started,
+      long ended,
+      long cutByRestart,
+      Fault fault,
+      long downUntil) {
+
+    static final Backend STARTED = new Backend(1, 0, 0, 0, 0, 0, Fault.NONE, Long.MIN_VALUE);
+
+    Backend plusRunning() {
+      return new Backend(
+          incarnation,
+          running + 1,
+          Math.max(mostRunning, running + 1),
+          started + 1,
+          ended,
+          cutByRestart,
+          fault,
+          downUntil);
+    }
+
+    Backend minusRunning() {
+      return new Backend(
+          incarnation,
+          running - 1,
+          mostRunning,
+          started,
+          ended + 1,
+          cutByRestart,
+          fault,
+          downUntil);
+    }
+
+    Backend withFault(Fault next) {
+      return new Backend(
+          incarnation, running, mostRunning, started, ended, cutByRestart, next, downUntil);
+    }
+
+    Backend restarted(long until) {
+      return new Backend(
+          incarnation + 1,
+          running,
+          mostRunning,
+          started,
+          ended,
+          cutByRestart + running,
+          fault,
+          until);
+    }
+  }
+
+  /** What a backend server does wrong. */
+  enum Fault {
+    /** Nothing. */
+    NONE,
+    /** Answers 500 at once. */
+    FAIL,
+    /** Closes the connection instead of answering. */
+    DROP,
+    /** Sends half of its answer and closes the connection. */
+    TRUNCATE,
+    /** Answers with another attempt's id. */
+    CROSS,
+    /** Answers ten seconds late. */
+    LATE
+  }
+
+  WorkerState with(int index, Backend backend) {
+    return new WorkerState(servers.plus(index, backend), runs, teams, runningTeams);
+  }
+}
--- /dev/null
+++ b/testbed/src/main/java/dev/toucanstall/testbed/worker/WorkersServer.java
@@ -0,0 +1,244 @@
+package dev.toucanstall.testbed.worker;
+
+import dev.toucanstall.core.model.Address;
+import dev.toucanstall.core.model.DomainId;
+import dev.toucanstall.core.model.InstanceId;
+import dev.toucanstall.core.record.Condition;
+import dev.toucanstall.core.record.Observation;
+import dev.toucanstall.runtime.http.Answer;
+import dev.toucanstall.runtime.http.Call;
+import dev.toucanstall.runtime.http.HttpCalls;
+import dev.toucanstall.runtime.http.HttpServers;
+import dev.toucanstall.runtime.http.Route;
+import dev.toucanstall.runtime.http.RouteHandler;
+import dev.toucanstall.runtime.log.LogLine;
+import dev.toucanstall.runtime.loop.Asks;
+import dev.toucanstall.runtime.loop.ControlLoop;
+import dev.toucanstall.testbed.worker.WorkerState.Fault;
+import dev.toucanstall.wire.json.JsonCodec;
+import java.io.IOException;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+import java.util.Map;
+import java.util.function.LongFunction;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+import org.eclipse.jetty.server.Handler;
+import org.eclipse.jetty.server.Server;
+
+/**
+ * A number of stand-ins for backend servers in one process, each on a port of its own, and a
+ * control port for faults and the ledger. Thread-safe.
+ */
+public final class WorkersServer implements AutoCloseable {
+
+  private static final Logger LOG = LogManager.getLogger(WorkersServer.class);
+  private static final JsonCodec<Observation> OBSERVATION = JsonCodec.of(Observation.class);
+  private static final JsonCodec<WorkerEffect.Ledger> LEDGER =
+      JsonCodec.of(WorkerEffect.Ledger.class);
+  private static final Duration PATIENCE = Duration.ofSeconds(5);
+  private static final Duration TICK = Duration.ofSeconds(1);
+  private static final Duration REGISTER_EVERY = Duration.ofMillis(500);
+  private static final int BAD_REQUEST = 400;
+  private static final int UNAVAILABLE = 503;
+
+  private final Layout layout;
+  private final Asks<WorkerEffect> asks = new Asks<>();
+  private final ControlLoop<WorkerState, WorkerEvent, WorkerEffect> loop;
+  private final HttpCalls calls = new HttpCalls("register");
+  private final List<Server> servers = new ArrayList<>();
+  private final Thread registering;
+
+  /**
+   * Where the backend servers are.
+   *
+   * @param host the IP number
+   * @param controlPort the port of the control interface
+   * @param firstPort the port of the first backend server
+   * @param prefix the start of the instances' names
+   * @param count how many there are
+   * @param slots how many requests each runs at once
+   * @param perRack how many share a rack
+   * @param datacentre the data centre
+   * @param platformUrl the URL of the platform
+   * @param serviceMillis how long a request runs unless it says so itself
+   */
+  public record Layout(
+      String host,
+      int controlPort,
+      int firstPort,
+      String prefix,
+      int count,
+      int slots,
+      int perRack,
+      String datacentre,
+      String platformUrl,
+      long serviceMillis) {
+
+    InstanceId id(int index) {
+      return new InstanceId("%s%d".formatted(prefix, index));
+    }
+  }
+
+  /**
+   * Starts the servers.
+   *
+   * @param layout where they are
+   * @throws IOException if an address is in use
+   */
+  public WorkersServer(Layout layout) throws IOException {
+    this.layout = layout;
+    loop =
+        new ControlLoop<>(
+            "workers",
+            WorkerState.of(layout.count()),
+            WorkerReducer::reduce,
+            this::carryOut,
+            (event, e) -> LogLine.of("workers-failed").error(LOG, e),
+            TICK,
+            WorkerEvent.Tick::new);
+    loop.start();
+    start(layout.controlPort(), new RouteHandler(routes()));
+    for (int i = 0; i < layout.count(); i++) {
+      start(layout.firstPort() + i, new BackendHandler(i, this, layout.serviceMillis()));
+    }
+    registering = Thread.ofVirtual().name("register").start(this::register);
+  }
+
+  private void start(int port, Handler handler) throws IOException {
+    Server server = HttpServers.plain("worker" + port, new Address(layout.host(), port), handler);
+    servers.add(server);
+    try {
+      server.start();
+    } catch (Exception e) {
+      throw new IOException("worker did not start at port " + port, e);
+    }
+  }
+
+  private List<Route> routes() {
+    return List.of(
+        new Route("POST", "/restart", this::restart),
+        new Route("POST", "/fault", this::fault),
+        new Route("GET", "/ledger", this::ledger));
+  }
+
+  /** Posts an event and waits for its effect. */
+  WorkerEffect ask(LongFunction<WorkerEvent> event) throws InterruptedException {
+    WorkerEffect effect = asks.ask(h -> loop.post(event.apply(h)), PATIENCE);
+    return effect == null ? new WorkerEffect.Done(0) : effect;
+  }
+
+  /** Posts an event. */
+  void post(WorkerEvent event) {
+    loop.post(event);
+  }
+
+  private void carryOut(WorkerEffect effect) {
+    switch (effect) {
+      case WorkerEffect.Proceed proceed -> asks.answer(proceed.handle(), proceed);
+      case WorkerEffect.Done done -> asks.answer(done.handle(), done);
+      case WorkerEffect.Ledger ledger -> asks.answer(ledger.handle(), ledger);
+      case WorkerEffect.Starts starts -> asks.answer(starts.handle(), starts);
+    }
+  }
+
+  private int index(Call call) {
+    String name = call.query().getOrDefault("instance", "");
+    for (int i = 0; i < layout.count(); i++) {
+      if (layout.id(i).value().equals(name)) {
+        return i;
+      }
+    }
+    return -1;
+  }
+
+  private Answer restart(Call call) throws InterruptedException {
+    int index = index(call);
+    if (index < 0) {
+      return Answer.text(BAD_REQUEST, "instance does not exist");
+    }
+    ask(h -> new WorkerEvent.Restart(System.nanoTime(), h, index));
+    return Answer.json("{}");
+  }
+
+  private Answer fault(Call call) throws InterruptedException {
+    int index = index(call);
+    String kind = call.query().getOrDefault("kind", "NONE");
+    boolean known = Arrays.stream(Fault.values()).anyMatch(f -> f.name().equals(kind));
+    if (index < 0 || !known) {
+      return Answer.text(BAD_REQUEST, "instance or fault does not exist");
+    }
+    ask(h -> new WorkerEvent.SetFault(System.nanoTime(), h, index, Fault.valueOf(kind)));
+    return Answer.json("{}");
+  }
+
+  private Answer ledger(Call call) throws InterruptedException {
+    return ask(h -> new WorkerEvent.ShowLedger(System.nanoTime(), h))
+            instanceof WorkerEffect.Ledger ledger
+        ? Answer.json(LEDGER.encode(ledger))
+        : Answer.text(UNAVAILABLE, "no answer");
+  }
+
+  private void register() {
+    try {
+      while (true) {
+        if (ask(h -> new WorkerEvent.ShowStarts(System.nanoTime(), h))
+            instanceof WorkerEffect.Starts starts) {
+          registerAll(starts.up());
+        }
+        Thread.sleep(REGISTER_EVERY);
+      }
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+  }
+
+  private void registerAll(Map<Integer, Long> up) throws InterruptedException {
+    String control = "?control=http://%s:%d".formatted(layout.host(), layout.controlPort());
+    for (Map.Entry<Integer, Long> entry : up.entrySet()) {
+      String body = OBSERVATION.encode(observation(entry.getKey(), entry.getValue()));
+      try {
+        calls.send("POST", layout.platformUrl() + "/register" + control, "", body, PATIENCE);
+      } catch (IOException e) {
+        LogLine.of("register-failed").with("why", String.valueOf(e.getMessage())).info(LOG);
+        return;
+      }
+    }
+  }
+
+  private Observation observation(int index, long incarnation) {
+    return new Observation(
+        layout.id(index),
+        incarnation,
+        new Address(layout.host(), layout.firstPort() + index),
+        layout.datacentre(),
+        new DomainId("%s-rack%d".formatted(layout.datacentre(), index / layout.perRack())),
+        layout.slots(),
+        Condition.UP);
+  }
+
+  /**
+   * Waits until the process ends.
+   *
+   * @throws InterruptedException if the thread is interrupted
+   */
+  public void awaitStop() throws InterruptedException {
+    registering.join();
+  }
+
+  @Override
+  public void close() {
+    registering.interrupt();
+    for (Server server : servers) {
+      try {
+        server.stop();
+      } catch (Exception e) {
+        LogLine.of("stop-failed").error(LOG, e);
+      }
+    }
+    loop.close();
+    calls.close();
+  }
+}
--- /dev/null
+++ b/wire/src/main/java/dev/toucanstall/wire/json/package-info.java
@@ -0,0 +1,5 @@
+/** The JSON and MessagePack mappers and the documents that they write. */
+@NullMarked
+package dev.toucanstall.wire.json;
+
+import org.jspecify.annotations.NullMarked;
--- a/wire/src/main/java/dev/toucanstall/wire/package-info.java
+++ b/wire/src/main/java/dev/toucanstall/wire/package-info.java
@@ -1,4 +1,4 @@
-/** Placeholder. */
+/** Encodings of the typed messages: JSON for the log and operators, MessagePack for peers. */
 @NullMarked
 package dev.toucanstall.wire;
 
