--- a/core/src/main/java/dev/toucanstall/core/reduce/SplitRules.java
+++ b/core/src/main/java/dev/toucanstall/core/reduce/SplitRules.java
@@ -2,7 +2,6 @@
 
 import dev.toucanstall.core.fold.Epoch;
 import dev.toucanstall.core.fold.FleetInstance;
-import dev.toucanstall.core.fold.Membership;
 import dev.toucanstall.core.model.MemberId;
 import dev.toucanstall.core.model.Rendezvous;
 import dev.toucanstall.core.peer.SlotKey;
@@ -123,18 +122,21 @@
     return foldedAt != null && now - foldedAt > state.self().timing().fence();
   }
 
-  /** Returns the newest epoch to whose split this instance's own use has shrunk. */
+  /**
+   * Returns the newest epoch to whose split this instance's own use has shrunk. Epochs before the
+   * cleared one no longer bind anybody.
+   */
   static long shrunkTo(State state, long now) {
     if (now < state.slots().quarantineUntil()) {
       return Long.MIN_VALUE;
     }
-    Membership membership = state.folded().membership();
-    long reached = Long.MIN_VALUE;
-    for (Epoch epoch : membership.epochs()) {
-      if (!fits(state, epoch, now)) {
+    long cleared = state.slots().clearedEpoch();
+    long reached = cleared;
+    for (Epoch epoch : state.folded().membership().epochs()) {
+      if (epoch.number() > cleared && !fits(state, epoch, now)) {
         return reached;
       }
-      reached = epoch.number();
+      reached = Math.max(reached, epoch.number());
     }
     return reached;
   }
