Ask the keepers of all epochs within the claim window

Cause: the time at which an epoch was folded was forgotten once its slots were cleared, a second or so after a join; claims then asked only the newest epoch's keepers, and a request id could run again after a change of members. Change: fold times stay while the epoch is kept; members tell each other in heartbeats which epoch some member folded longer ago than the window, so that a new instance need not wait for it. requestIdRunsOnceThroughTwoInstances now waits until one group of keepers counts: with several groups two submissions at once may refuse each other, which the promise allows.

--- a/core/src/main/java/dev/toucanstall/core/peer/PeerMessage.java
+++ b/core/src/main/java/dev/toucanstall/core/peer/PeerMessage.java
@@ -19,6 +19,7 @@
    * @param folded the sender's last folded offset
    * @param shrunkTo the newest epoch to whose split the sender's use has shrunk
    * @param cleared the newest epoch before which no member holds anything any more
+   * @param claimsFrom the newest epoch that a member folded longer ago than the claim window
    * @param busy draining instances at which the sender has work in flight
    * @param digest a digest of the sender's state at the offset {@code digestAt}
    * @param digestAt the offset of the digest
@@ -29,6 +30,7 @@
       long folded,
       long shrunkTo,
       long cleared,
+      long claimsFrom,
       List<InstanceId> busy,
       long digest,
       long digestAt)
--- a/core/src/main/java/dev/toucanstall/core/reduce/AfterFold.java
+++ b/core/src/main/java/dev/toucanstall/core/reduce/AfterFold.java
@@ -42,7 +42,7 @@
         next = next.withSlots(next.slots().withEpochFolded(epoch.number(), now));
       }
     }
-    return next;
+    return next.withSlots(next.slots().keepingEpochs(state.folded().membership().epochs()));
   }
 
   private static Step relink(State state, Folded before, long now) {
--- a/core/src/main/java/dev/toucanstall/core/reduce/ClaimKeepers.java
+++ b/core/src/main/java/dev/toucanstall/core/reduce/ClaimKeepers.java
@@ -26,20 +26,34 @@
 
   private ClaimKeepers() {}
 
-  /** Returns the groups of keepers of which each must grant a claim by its majority. */
-  static List<Set<MemberId>> groups(State state, RequestKey key, long now) {
+  /**
+   * Returns the groups of keepers of which each must grant a claim by its majority; none if so many
+   * epochs passed within the claim window that the first of them is forgotten.
+   */
+  static List<Set<MemberId>> groups(State state, RequestKey key) {
     List<Epoch> epochs = state.folded().membership().epochs();
+    long settled = state.claims().settledEpoch();
     Set<Set<MemberId>> groups = new HashSet<>();
-    long window = state.self().timing().claimWindow();
     for (int i = epochs.size() - 1; i >= 0 && epochs.get(i).number() >= 0; i--) {
       groups.add(of(epochs.get(i), key));
-      Long foldedAt = state.slots().foldedEpochAt().get(epochs.get(i).number());
-      boolean older = foldedAt == null || now - foldedAt > window;
-      if (older) {
-        break;
+      if (epochs.get(i).number() <= settled) {
+        return List.copyOf(groups);
+      }
+    }
+    return epochs.get(0).number() >= 0 ? List.of() : List.copyOf(groups);
+  }
+
+  /** Notes which epochs were folded longer ago than the claim window. */
+  static State settle(State state, long now) {
+    long newest = state.claims().settledEpoch();
+    long window = state.self().timing().claimWindow();
+    for (Epoch epoch : state.folded().membership().epochs()) {
+      Long foldedAt = state.slots().foldedEpochAt().get(epoch.number());
+      if (foldedAt != null && now - foldedAt > window) {
+        newest = Math.max(newest, epoch.number());
       }
     }
-    return List.copyOf(groups);
+    return state.withClaims(state.claims().withSettledEpoch(newest));
   }
 
   /** Returns the keepers of a claim in an epoch. */
--- a/core/src/main/java/dev/toucanstall/core/reduce/ClaimReducer.java
+++ b/core/src/main/java/dev/toucanstall/core/reduce/ClaimReducer.java
@@ -13,6 +13,7 @@
 import dev.toucanstall.core.state.Stage;
 import dev.toucanstall.core.state.State;
 import java.time.Duration;
+import java.util.List;
 import java.util.Map;
 import java.util.Objects;
 import java.util.Set;
@@ -35,7 +36,7 @@
   /** Begins to claim a request's id. */
   static Step begin(State state, Request request, long now) {
     RequestKey key = Objects.requireNonNull(request.requestKey());
-    Set<MemberId> keepers = keepers(state, key, now);
+    Set<MemberId> keepers = keepers(state, key);
     Request claiming = request.in(new Stage.Claiming(HashTreePSet.empty(), now));
     Step step = Step.of(state.withTraffic(state.traffic().with(claiming)));
     for (MemberId keeper : keepers) {
@@ -49,9 +50,9 @@
         : step;
   }
 
-  private static Set<MemberId> keepers(State state, RequestKey key, long now) {
+  private static Set<MemberId> keepers(State state, RequestKey key) {
     Set<MemberId> all = new TreeSet<>();
-    ClaimKeepers.groups(state, key, now).forEach(all::addAll);
+    ClaimKeepers.groups(state, key).forEach(all::addAll);
     return all;
   }
 
@@ -109,15 +110,16 @@
       State state, Request request, PSet<MemberId> granted, Stage.Claiming claiming, long now) {
     Request next = request.in(new Stage.Claiming(granted, claiming.askedAt()));
     State counted = state.withTraffic(state.traffic().with(next));
-    return isClaimed(state, request, granted, now)
+    return isClaimed(state, request, granted)
         ? RequestRules.enqueue(counted, next, now)
         : Step.of(counted);
   }
 
-  private static boolean isClaimed(State state, Request request, PSet<MemberId> granted, long now) {
+  private static boolean isClaimed(State state, Request request, PSet<MemberId> granted) {
     RequestKey key = Objects.requireNonNull(request.requestKey());
-    return ClaimKeepers.groups(state, key, now).stream()
-        .allMatch(group -> Membership.isMajority(granted, group));
+    List<Set<MemberId>> groups = ClaimKeepers.groups(state, key);
+    return !groups.isEmpty()
+        && groups.stream().allMatch(group -> Membership.isMajority(granted, group));
   }
 
   private static Step duplicate(State state, Request request, long now) {
@@ -145,7 +147,7 @@
     RequestKey key = Objects.requireNonNull(request.requestKey());
     PeerMessage.ClaimReleased message = new PeerMessage.ClaimReleased(request.number(), key);
     Step step = released(state, state.me(), state.self().member().incarnation(), message);
-    for (MemberId keeper : keepers(state, key, now)) {
+    for (MemberId keeper : keepers(state, key)) {
       if (!keeper.equals(state.me())) {
         step = step.plus(new Effect.Send(keeper, message));
       }
--- a/core/src/main/java/dev/toucanstall/core/reduce/LifeReducer.java
+++ b/core/src/main/java/dev/toucanstall/core/reduce/LifeReducer.java
@@ -40,7 +40,8 @@
     if (state.peers().heartbeatDueAt() == before.peers().heartbeatDueAt()) {
       return Step.of(state);
     }
-    return Step.of(endQuarantine(SplitRules.advanceCleared(state, now), now))
+    State settled = ClaimKeepers.settle(SplitRules.advanceCleared(state, now), now);
+    return Step.of(endQuarantine(settled, now))
         .then(s -> LoanReducer.settleAll(s, now))
         .then(s -> MembershipRules.propose(s, now));
   }
--- a/core/src/main/java/dev/toucanstall/core/reduce/PeerReducer.java
+++ b/core/src/main/java/dev/toucanstall/core/reduce/PeerReducer.java
@@ -97,20 +97,24 @@
             heartbeat.busy(),
             known.loads());
     State next = state.withPeers(state.peers().with(received.peer(), view));
-    return Step.of(adoptCleared(next, received.peer(), heartbeat.cleared()))
+    return Step.of(adoptEpochs(next, received.peer(), heartbeat))
         .map(s -> markMajority(s, now))
         .then(s -> compareDigest(s, received.peer(), heartbeat))
         .then(s -> askForRecords(s, received.peer(), heartbeat));
   }
 
-  /** A settled member's word that an epoch is cleared holds for everyone. */
-  private static State adoptCleared(State state, MemberId peer, long cleared) {
+  /** A settled member's word on what earlier epochs left behind holds for everyone. */
+  private static State adoptEpochs(State state, MemberId peer, PeerMessage.Heartbeat heartbeat) {
+    if (!Freshness.isCurrent(state, peer)) {
+      return state;
+    }
+    State next = state.withClaims(state.claims().withSettledEpoch(heartbeat.claimsFrom()));
+    long cleared = heartbeat.cleared();
     boolean known =
         state.folded().membership().epochs().stream().anyMatch(epoch -> epoch.number() == cleared);
-    boolean newer = cleared > state.slots().clearedEpoch();
-    return known && newer && Freshness.isCurrent(state, peer)
-        ? state.withSlots(state.slots().withCleared(cleared))
-        : state;
+    return known && cleared > state.slots().clearedEpoch()
+        ? next.withSlots(next.slots().withCleared(cleared))
+        : next;
   }
 
   private static State markMajority(State state, long now) {
@@ -195,6 +199,7 @@
             state.folded().offset(),
             SplitRules.shrunkTo(state, now),
             state.slots().clearedEpoch(),
+            state.claims().settledEpoch(),
             busyDraining(state),
             state.folded().digest(),
             state.folded().offset()));
--- a/core/src/main/java/dev/toucanstall/core/state/Claims.java
+++ b/core/src/main/java/dev/toucanstall/core/state/Claims.java
@@ -14,18 +14,20 @@
  * @param byAge the request ids by the order in which they were claimed
  * @param last the order of the newest claim
  * @param unsureUntil before when this start may lack claims that an earlier start kept
+ * @param settledEpoch the newest epoch that some member folded longer ago than the claim window
  */
 public record Claims(
     HashPMap<RequestKey, Claim> byKey,
     TreePMap<Long, RequestKey> byAge,
     long last,
-    long unsureUntil) {
+    long unsureUntil,
+    long settledEpoch) {
 
   /** Most claims kept; the oldest go first, which shortens their window under overload. */
   public static final int MAX_KEPT = 200_000;
 
   /** No claims. */
-  public static final Claims EMPTY = new Claims(HashTreePMap.empty(), TreePMap.empty(), 0, 0);
+  public static final Claims EMPTY = new Claims(HashTreePMap.empty(), TreePMap.empty(), 0, 0, -1);
 
   /**
    * One claim.
@@ -74,7 +76,8 @@
   public Claims grant(RequestKey key, MemberId holder, long incarnation, long claim, long at) {
     long order = last + 1;
     Claim granted = new Claim(holder, incarnation, claim, at, order);
-    return new Claims(byKey.plus(key, granted), byAge.plus(order, key), order, unsureUntil);
+    return new Claims(
+        byKey.plus(key, granted), byAge.plus(order, key), order, unsureUntil, settledEpoch);
   }
 
   /**
@@ -87,7 +90,7 @@
     Claim claim = byKey.get(key);
     return claim == null
         ? this
-        : new Claims(byKey.minus(key), byAge.minus(claim.order()), last, unsureUntil);
+        : new Claims(byKey.minus(key), byAge.minus(claim.order()), last, unsureUntil, settledEpoch);
   }
 
   /**
@@ -117,6 +120,16 @@
    * @return the new claims
    */
   public Claims withUnsureUntil(long until) {
-    return new Claims(byKey, byAge, last, until);
+    return new Claims(byKey, byAge, last, until, settledEpoch);
+  }
+
+  /**
+   * Returns the claims with a newer settled epoch.
+   *
+   * @param epoch the epoch
+   * @return the new claims
+   */
+  public Claims withSettledEpoch(long epoch) {
+    return epoch <= settledEpoch ? this : new Claims(byKey, byAge, last, unsureUntil, epoch);
   }
 }
--- a/core/src/main/java/dev/toucanstall/core/state/Slots.java
+++ b/core/src/main/java/dev/toucanstall/core/state/Slots.java
@@ -1,6 +1,8 @@
 package dev.toucanstall.core.state;
 
+import dev.toucanstall.core.fold.Epoch;
 import dev.toucanstall.core.peer.SlotKey;
+import java.util.List;
 import java.util.Objects;
 import org.pcollections.HashPMap;
 import org.pcollections.HashTreePMap;
@@ -12,7 +14,7 @@
  * @param version the version of the split; a home share of another version is worked out anew
  * @param clearedEpoch the newest epoch before which no member holds anything any more
  * @param quarantineUntil before when an earlier start of this instance may still hold slots
- * @param foldedEpochAt when this instance folded each epoch that is not yet cleared
+ * @param foldedEpochAt when this instance folded each kept epoch
  * @param lastAsk the number of the last question for a loan or claim
  */
 public record Slots(
@@ -74,8 +76,7 @@
    * @return the new slots
    */
   public Slots withCleared(long epoch) {
-    return new Slots(
-        uses, version + 1, epoch, quarantineUntil, foldedEpochAt.minus(epoch), lastAsk);
+    return new Slots(uses, version + 1, epoch, quarantineUntil, foldedEpochAt, lastAsk);
   }
 
   /**
@@ -108,4 +109,19 @@
   public Slots withNextAsk() {
     return new Slots(uses, version, clearedEpoch, quarantineUntil, foldedEpochAt, lastAsk + 1);
   }
+
+  /**
+   * Returns the slots without the times of epochs that are no longer kept.
+   *
+   * @param epochs the kept epochs
+   * @return the new slots
+   */
+  public Slots keepingEpochs(List<Epoch> epochs) {
+    HashPMap<Long, Long> kept = HashTreePMap.empty();
+    for (Epoch epoch : epochs) {
+      Long at = foldedEpochAt.get(epoch.number());
+      kept = at == null ? kept : kept.plus(epoch.number(), at);
+    }
+    return new Slots(uses, version, clearedEpoch, quarantineUntil, kept, lastAsk);
+  }
 }
--- a/core/src/test/java/dev/toucanstall/core/reduce/ClusterTest.java
+++ b/core/src/test/java/dev/toucanstall/core/reduce/ClusterTest.java
@@ -232,6 +232,7 @@
   @Test
   void requestIdRunsOnceThroughTwoInstances() {
     LocalCluster cluster = ready(13, 5, 20);
+    cluster.run(LocalCluster.TIMING.claimWindow() + SECOND);
     long first = cluster.submit(cluster.node(0), LocalCluster.key(1), "a", false, 3 * SECOND);
     long second = cluster.submit(cluster.node(1), LocalCluster.key(1), "a", false, 3 * SECOND);
     cluster.run(4 * SECOND);
@@ -254,18 +255,39 @@
     assertThat(cluster.outcomes.get(again)).isAnyOf("duplicate", "claim-unavailable", "ok");
   }
 
+  @Test
+  void requestIdRunsOnceAcrossChangesOfMembers() {
+    LocalCluster cluster = ready(19, 6, 20);
+    for (int i = 0; i < 40; i++) {
+      cluster.submit(cluster.node(0), LocalCluster.key(1), "m" + i, false, 3 * SECOND);
+    }
+    cluster.run(4 * SECOND);
+    for (int i = 1; i <= 3; i++) {
+      Node leaving = cluster.node(i);
+      cluster.deliver(leaving, new Event.StopRequested(leaving.clock()));
+    }
+    cluster.run(10 * SECOND);
+    for (int i = 0; i < 40; i++) {
+      cluster.submit(cluster.node(4), LocalCluster.key(1), "m" + i, false, 3 * SECOND);
+    }
+    cluster.run(4 * SECOND);
+
+    assertThat(cluster.runsById.values().stream().allMatch(runs -> runs == 1)).isTrue();
+  }
+
   @Test
   void refusedRequestIdMayBeSentAgain() {
     LocalCluster cluster = ready(15, 3, 0);
     long refused = cluster.submit(cluster.node(0), LocalCluster.key(1), "c", false, SECOND);
     cluster.run(2 * SECOND);
+    assertThat(cluster.outcomes).containsEntry(refused, "too-late");
+
     cluster.limit = 5;
     cluster.set(cluster.node(0), "/teams/t/limit", "5");
     cluster.run(2 * SECOND);
     long again = cluster.submit(cluster.node(1), LocalCluster.key(1), "c", false, 3 * SECOND);
     cluster.run(4 * SECOND);
 
-    assertThat(cluster.outcomes).containsEntry(refused, "too-late");
     assertThat(cluster.outcomes).containsEntry(again, "ok");
   }
 
--- a/core/src/test/java/dev/toucanstall/core/reduce/LocalCluster.java
+++ b/core/src/test/java/dev/toucanstall/core/reduce/LocalCluster.java
@@ -348,6 +348,7 @@
             h.folded(),
             h.shrunkTo(),
             h.cleared(),
+            h.claimsFrom(),
             h.busy(),
             h.digest(),
             h.digestAt())
