--- a/wire/src/main/java/dev/toucanstall/wire/json/Mappers.java
+++ b/wire/src/main/java/dev/toucanstall/wire/json/Mappers.java
@@ -1,7 +1,9 @@
 package dev.toucanstall.wire.json;
 
+import com.fasterxml.jackson.annotation.JsonAutoDetect;
 import com.fasterxml.jackson.annotation.JsonFormat;
 import com.fasterxml.jackson.annotation.JsonTypeInfo;
+import com.fasterxml.jackson.annotation.PropertyAccessor;
 import com.fasterxml.jackson.core.JsonGenerator;
 import com.fasterxml.jackson.core.JsonParser;
 import com.fasterxml.jackson.databind.DeserializationContext;
@@ -109,6 +111,7 @@
   private static ObjectMapper prepared(ObjectMapper mapper) {
     return mapper
         .registerModule(identifiers())
+        .setVisibility(PropertyAccessor.IS_GETTER, JsonAutoDetect.Visibility.NONE)
         .enable(DeserializationFeature.FAIL_ON_NULL_FOR_PRIMITIVES)
         .enable(DeserializationFeature.FAIL_ON_READING_DUP_TREE_KEY)
         .disable(DeserializationFeature.ACCEPT_FLOAT_AS_INT);
