Keep the majority's freshness and a pool's shares instead of working them out per request

Cause: every request walked all peers several times (a profile: streams over 63 views in Freshness) and worked out home shares of instances without stored use again. Ruled out: the persistent maps alone (19 KB allocated for each event pointed at streams, not maps). Change: the majority's basis is worked out after heartbeats and folds; a pool's shares once a split.

--- a/core/src/main/java/dev/toucanstall/core/reduce/AfterFold.java
+++ b/core/src/main/java/dev/toucanstall/core/reduce/AfterFold.java
@@ -25,6 +25,7 @@
     State versioned = state.withSlots(state.slots().withNextVersion());
     return Step.of(noteEpochs(versioned, before, now))
         .then(s -> relink(s, before, now))
+        .map(Freshness::refreshMajority)
         .then(s -> becomeMember(s, now))
         .then(s -> noteSnapshot(s, before, now))
         .then(s -> explainFleet(s, before, now))
--- a/core/src/main/java/dev/toucanstall/core/reduce/Freshness.java
+++ b/core/src/main/java/dev/toucanstall/core/reduce/Freshness.java
@@ -4,6 +4,7 @@
 import dev.toucanstall.core.record.Member;
 import dev.toucanstall.core.state.PeerView;
 import dev.toucanstall.core.state.State;
+import java.util.Arrays;
 import java.util.Set;
 
 /**
@@ -30,7 +31,7 @@
     if (!state.isMember() || state.log().isStalled()) {
       return NEVER;
     }
-    long basis = Math.max(byLog(state), byMajority(state, now));
+    long basis = Math.max(byLog(state), Math.min(now, state.peers().majorityBasis()));
     return basis == NEVER ? NEVER : basis + state.self().timing().freshness();
   }
 
@@ -75,31 +76,36 @@
     return state.log().everConfirmed() ? state.log().confirmedAt() : NEVER;
   }
 
-  private static long byMajority(State state, long now) {
-    long basis = now;
+  /**
+   * Works out anew up to when a majority is known to have been heard; needed after every heartbeat
+   * and every folded record, so that requests need not look at all peers.
+   */
+  static State refreshMajority(State state) {
+    long basis = Long.MAX_VALUE;
     for (Set<MemberId> group : state.folded().membership().groups()) {
-      basis = Math.min(basis, byMajorityOf(state, group, now));
+      basis = Math.min(basis, majorityBasis(state, group));
     }
-    return basis;
+    return state.withPeers(state.peers().withMajorityBasis(basis));
   }
 
-  private static long byMajorityOf(State state, Set<MemberId> group, long now) {
+  private static long majorityBasis(State state, Set<MemberId> group) {
     int needed = group.size() / 2 + 1 - (group.contains(state.me()) ? 1 : 0);
     if (needed <= 0) {
-      return now;
+      return Long.MAX_VALUE;
+    }
+    long[] echoes = new long[group.size()];
+    int count = 0;
+    for (MemberId peer : group) {
+      PeerView view = state.peers().get(peer);
+      if (view != null && view.folded() > state.folded().offset()) {
+        return NEVER;
+      }
+      if (view != null && view.everEchoed() && isCurrent(state, peer)) {
+        echoes[count] = view.echoedAt();
+        count++;
+      }
     }
-    long[] echoes =
-        group.stream()
-            .filter(peer -> !peer.equals(state.me()) && isCurrent(state, peer))
-            .map(peer -> state.peers().getOrUnheard(peer, now))
-            .filter(view -> view.everEchoed() && view.folded() <= state.folded().offset())
-            .mapToLong(PeerView::echoedAt)
-            .sorted()
-            .toArray();
-    boolean behind =
-        group.stream()
-            .map(peer -> state.peers().getOrUnheard(peer, now))
-            .anyMatch(view -> view.folded() > state.folded().offset());
-    return behind || echoes.length < needed ? NEVER : echoes[echoes.length - needed];
+    Arrays.sort(echoes, 0, count);
+    return count < needed ? NEVER : echoes[count - needed];
   }
 }
--- a/core/src/main/java/dev/toucanstall/core/reduce/PeerReducer.java
+++ b/core/src/main/java/dev/toucanstall/core/reduce/PeerReducer.java
@@ -98,7 +98,7 @@
             known.loads());
     State next = state.withPeers(state.peers().with(received.peer(), view));
     return Step.of(adoptEpochs(next, received.peer(), heartbeat))
-        .map(s -> markMajority(s, now))
+        .map(s -> Freshness.refreshMajority(markMajority(s, now)))
         .then(s -> compareDigest(s, received.peer(), heartbeat))
         .then(s -> askForRecords(s, received.peer(), heartbeat));
   }
--- a/core/src/main/java/dev/toucanstall/core/reduce/Pump.java
+++ b/core/src/main/java/dev/toucanstall/core/reduce/Pump.java
@@ -50,10 +50,10 @@
   /** Starts what can start in a pool. */
   static Step pump(State state, PoolId pool, long now) {
     long freshUntil = Freshness.freshUntil(state, now);
-    Step step = Step.of(state);
-    if (freshUntil <= now) {
-      return step;
+    if (freshUntil <= now || state.traffic().pool(pool).waiting() == 0) {
+      return Step.of(state);
     }
+    Step step = Step.of(SlotRules.refreshPool(state, pool, now));
     while (true) {
       State current = step.state();
       TeamId team = nextTeam(current, pool, now);
--- a/core/src/main/java/dev/toucanstall/core/reduce/SlotRules.java
+++ b/core/src/main/java/dev/toucanstall/core/reduce/SlotRules.java
@@ -1,6 +1,7 @@
 package dev.toucanstall.core.reduce;
 
 import dev.toucanstall.core.model.InstanceId;
+import dev.toucanstall.core.model.PoolId;
 import dev.toucanstall.core.model.TeamId;
 import dev.toucanstall.core.peer.SlotKey;
 import dev.toucanstall.core.state.SlotUse;
@@ -20,6 +21,19 @@
         : use.withHome(SplitRules.home(state, key, now), version);
   }
 
+  /** Works out the home shares of a pool's instances where the split has changed since. */
+  static State refreshPool(State state, PoolId pool, long now) {
+    long version = state.slots().version();
+    State next = state;
+    for (InstanceId id : state.folded().fleet().idsOf(pool)) {
+      SlotKey key = new SlotKey.OfInstance(id);
+      if (next.slots().get(key).homeVersion() != version) {
+        next = next.withSlots(next.slots().with(key, current(next, key, now)));
+      }
+    }
+    return next;
+  }
+
   /** Counts a start under both its team's and its instance's slots. */
   static State start(State state, TeamId team, InstanceId instance, long now) {
     return change(
--- a/core/src/main/java/dev/toucanstall/core/state/Peers.java
+++ b/core/src/main/java/dev/toucanstall/core/state/Peers.java
@@ -12,18 +12,22 @@
  * @param heartbeatDueAt when the next heartbeats are due
  * @param proposalDueAt when the next proposals for members are due
  * @param majorityAt when a majority of the members was first seen to have folded an offset
+ * @param majorityBasis the moment up to which a majority is known to have been heard; the lowest
+ *     number if none was, the highest if this instance alone is a majority
  */
 public record Peers(
     TreePMap<MemberId, PeerView> views,
     long heartbeatDueAt,
     long proposalDueAt,
-    TreePMap<Long, Long> majorityAt) {
+    TreePMap<Long, Long> majorityAt,
+    long majorityBasis) {
 
   /** Most offsets of which the time is kept. */
   public static final int KEPT_MARKS = 64;
 
   /** No peers. */
-  public static final Peers EMPTY = new Peers(TreePMap.empty(), 0, 0, TreePMap.empty());
+  public static final Peers EMPTY =
+      new Peers(TreePMap.empty(), 0, 0, TreePMap.empty(), Long.MIN_VALUE);
 
   /**
    * Returns the view of a peer.
@@ -54,7 +58,8 @@
    * @return the new peers
    */
   public Peers with(MemberId peer, PeerView view) {
-    return new Peers(views.plus(peer, view), heartbeatDueAt, proposalDueAt, majorityAt);
+    return new Peers(
+        views.plus(peer, view), heartbeatDueAt, proposalDueAt, majorityAt, majorityBasis);
   }
 
   /**
@@ -64,7 +69,7 @@
    * @return the new peers
    */
   public Peers withViews(TreePMap<MemberId, PeerView> next) {
-    return new Peers(next, heartbeatDueAt, proposalDueAt, majorityAt);
+    return new Peers(next, heartbeatDueAt, proposalDueAt, majorityAt, majorityBasis);
   }
 
   /**
@@ -74,7 +79,7 @@
    * @return the new peers
    */
   public Peers withHeartbeatDueAt(long at) {
-    return new Peers(views, at, proposalDueAt, majorityAt);
+    return new Peers(views, at, proposalDueAt, majorityAt, majorityBasis);
   }
 
   /**
@@ -84,7 +89,7 @@
    * @return the new peers
    */
   public Peers withProposalDueAt(long at) {
-    return new Peers(views, heartbeatDueAt, at, majorityAt);
+    return new Peers(views, heartbeatDueAt, at, majorityAt, majorityBasis);
   }
 
   /**
@@ -100,6 +105,19 @@
         views,
         heartbeatDueAt,
         proposalDueAt,
-        next.size() > KEPT_MARKS ? next.minus(next.firstKey()) : next);
+        next.size() > KEPT_MARKS ? next.minus(next.firstKey()) : next,
+        majorityBasis);
+  }
+
+  /**
+   * Returns the peers with the moment up to which a majority is known to have been heard.
+   *
+   * @param basis the moment
+   * @return the new peers
+   */
+  public Peers withMajorityBasis(long basis) {
+    return basis == majorityBasis
+        ? this
+        : new Peers(views, heartbeatDueAt, proposalDueAt, majorityAt, basis);
   }
 }
