Read as a newcomer: words for phases and reasons, one set-up for the cluster tests

Cause: explain printed record syntax ("Draining[since=13, reason=Maintenance[wave=w1]]"), the cluster tests set the same fleet up twice, a refusal code was never used. Ruled out: nothing. Change: phases and drain reasons say themselves in words; LocalCluster.configure; NO_INSTANCE gone.

--- a/core/src/main/java/dev/toucanstall/core/fold/Phase.java
+++ b/core/src/main/java/dev/toucanstall/core/fold/Phase.java
@@ -34,6 +34,34 @@
     return new Serving();
   }
 
+  /**
+   * Returns the phase in one word.
+   *
+   * @return "serving", "draining" or "empty"
+   */
+  default String word() {
+    return switch (this) {
+      case Serving serving -> "serving";
+      case Draining draining -> "draining";
+      case Empty empty -> "empty";
+    };
+  }
+
+  /**
+   * Returns the phase in words for operators, with the reason of a drain.
+   *
+   * @return such as "draining since 13 for wave spring"
+   */
+  default String text() {
+    return switch (this) {
+      case Serving serving -> word();
+      case Draining draining ->
+          "draining since %d for %s".formatted(draining.since(), draining.reason().text());
+      case Empty empty ->
+          "empty, drained since %d for %s".formatted(empty.since(), empty.reason().text());
+    };
+  }
+
   /**
    * Tells whether the instance takes new work.
    *
--- a/core/src/main/java/dev/toucanstall/core/model/RefusalCode.java
+++ b/core/src/main/java/dev/toucanstall/core/model/RefusalCode.java
@@ -20,8 +20,6 @@
   CUT_OFF("cut-off", 503),
   /** The entry instance is stopping. */
   STOPPING("stopping", 503),
-  /** The service's pool has no instance that takes work. */
-  NO_INSTANCE("no-instance", 503),
   /** The same request id was submitted before. */
   DUPLICATE("duplicate", 409),
   /** The members that keep the claim of the request id do not answer. */
@@ -70,7 +68,6 @@
           TOO_LATE,
           CUT_OFF,
           STOPPING,
-          NO_INSTANCE,
           CLAIM_UNAVAILABLE,
           BACKEND_FAILED,
           BACKEND_TIMEOUT ->
--- a/core/src/main/java/dev/toucanstall/core/record/DrainReason.java
+++ b/core/src/main/java/dev/toucanstall/core/record/DrainReason.java
@@ -11,19 +11,44 @@
    *
    * @param wave the wave
    */
-  record Maintenance(WaveId wave) implements DrainReason {}
+  record Maintenance(WaveId wave) implements DrainReason {
+
+    @Override
+    public String text() {
+      return "wave " + wave;
+    }
+  }
 
   /**
    * It moves to another pool.
    *
    * @param to the pool
    */
-  record Move(PoolId to) implements DrainReason {}
+  record Move(PoolId to) implements DrainReason {
+
+    @Override
+    public String text() {
+      return "a move to pool " + to;
+    }
+  }
 
   /**
    * Its backend server fails what it starts; it is restarted.
    *
    * @param evidence one sentence
    */
-  record Repair(String evidence) implements DrainReason {}
+  record Repair(String evidence) implements DrainReason {
+
+    @Override
+    public String text() {
+      return "repair: " + evidence;
+    }
+  }
+
+  /**
+   * Returns the reason in words for operators.
+   *
+   * @return such as "wave spring"
+   */
+  String text();
 }
--- a/core/src/main/java/dev/toucanstall/core/reduce/AfterFold.java
+++ b/core/src/main/java/dev/toucanstall/core/reduce/AfterFold.java
@@ -4,7 +4,6 @@
 import dev.toucanstall.core.fold.Epoch;
 import dev.toucanstall.core.fold.FleetInstance;
 import dev.toucanstall.core.fold.Folded;
-import dev.toucanstall.core.fold.Membership;
 import dev.toucanstall.core.model.MemberId;
 import dev.toucanstall.core.record.Member;
 import dev.toucanstall.core.state.Life;
@@ -12,8 +11,8 @@
 import dev.toucanstall.core.state.Peers;
 import dev.toucanstall.core.state.State;
 import java.util.List;
-import java.util.Set;
-import java.util.TreeSet;
+import java.util.Locale;
+import org.jspecify.annotations.Nullable;
 import org.pcollections.TreePMap;
 
 /** Draws the consequences of newly folded records. Pure. */
@@ -83,39 +82,32 @@
   }
 
   private static Step explainFleet(State state, Folded before, long now) {
-    if (state.folded().fleet() == before.fleet()) {
+    if (state.folded().fleet().equals(before.fleet())) {
       return Step.of(state);
     }
     Step step = Step.of(state);
-    Membership members = state.folded().membership();
-    Set<FleetInstance> changed = new TreeSet<>((a, b) -> a.id().compareTo(b.id()));
     for (FleetInstance instance : state.folded().fleet().instances().values()) {
-      FleetInstance old = before.fleet().get(instance.id());
-      boolean same =
-          old != null
-              && old.phase().equals(instance.phase())
-              && old.pool().equals(instance.pool())
-              && old.observed().condition() == instance.observed().condition();
-      if (!same) {
-        changed.add(instance);
+      if (hasChanged(before.fleet().get(instance.id()), instance)) {
+        step = step.then(s -> explain(s, instance, now));
       }
     }
-    for (FleetInstance instance : changed) {
-      step =
-          step.then(
-              s ->
-                  Journaling.decide(
-                      s,
-                      now,
-                      "instance/" + instance.id(),
-                      "fleet",
-                      "pool %s, %s, %s, %d members"
-                          .formatted(
-                              instance.pool(),
-                              instance.phase(),
-                              instance.observed().condition(),
-                              members.active().size())));
-    }
     return step;
   }
+
+  private static boolean hasChanged(@Nullable FleetInstance before, FleetInstance after) {
+    return before == null
+        || !before.phase().equals(after.phase())
+        || !before.pool().equals(after.pool())
+        || before.observed().condition() != after.observed().condition();
+  }
+
+  private static Step explain(State state, FleetInstance instance, long now) {
+    String condition = instance.observed().condition().name().toLowerCase(Locale.ROOT);
+    return Journaling.decide(
+        state,
+        now,
+        "instance/" + instance.id(),
+        "fleet",
+        "pool %s, %s, %s".formatted(instance.pool(), instance.phase().text(), condition));
+  }
 }
--- a/core/src/main/java/dev/toucanstall/core/reduce/RequestRules.java
+++ b/core/src/main/java/dev/toucanstall/core/reduce/RequestRules.java
@@ -123,7 +123,7 @@
 
   /** Moves waiting requests to the pools that their services run in now. */
   static Step requeueMoved(State state, Folded before) {
-    if (state.folded().settings() == before.settings()) {
+    if (state.folded().settings().equals(before.settings())) {
       return Step.of(state);
     }
     State next = state;
--- a/core/src/main/java/dev/toucanstall/core/reduce/Views.java
+++ b/core/src/main/java/dev/toucanstall/core/reduce/Views.java
@@ -8,7 +8,6 @@
 import dev.toucanstall.core.effect.OperatorAnswer.UnknownNameLine;
 import dev.toucanstall.core.effect.OperatorAnswer.WaveLine;
 import dev.toucanstall.core.fold.FleetInstance;
-import dev.toucanstall.core.fold.Phase;
 import dev.toucanstall.core.model.InstanceId;
 import dev.toucanstall.core.model.MemberId;
 import dev.toucanstall.core.model.TeamId;
@@ -45,21 +44,13 @@
     return new InstanceLine(
         instance.id(),
         instance.pool(),
-        phaseName(instance.phase()),
+        instance.phase().word(),
         instance.observed().condition().name().toLowerCase(Locale.ROOT),
         instance.observed().domain().value(),
         RequestRules.runningOn(state, instance.id()),
         healthName(state.healthOf(instance.id()), now));
   }
 
-  private static String phaseName(Phase phase) {
-    return switch (phase) {
-      case Phase.Serving serving -> "serving";
-      case Phase.Draining draining -> "draining";
-      case Phase.Empty empty -> "empty";
-    };
-  }
-
   private static String healthName(Health health, long now) {
     if (health.probing()) {
       return "probing";
--- a/core/src/main/java/dev/toucanstall/core/reduce/WavePlanner.java
+++ b/core/src/main/java/dev/toucanstall/core/reduce/WavePlanner.java
@@ -77,7 +77,7 @@
                     now,
                     "instance/" + instance.id(),
                     "drain",
-                    "proposed to drain for %s".formatted(reason)));
+                    "proposed to drain for " + reason.text()));
   }
 
   private static Step movePlaced(State state, PoolId pool, long now) {
--- a/core/src/test/java/dev/toucanstall/core/reduce/ClusterRandomTest.java
+++ b/core/src/test/java/dev/toucanstall/core/reduce/ClusterRandomTest.java
@@ -20,6 +20,7 @@
 
   private static final int STEPS = 60;
   private static final int KEYS = 3;
+  private static final int FIRST_LIMIT = 12;
   private static final int HIGHEST_LIMIT = 30;
   private static final SlotKey TEAM = new SlotKey.OfTeam(new TeamId("t"));
 
@@ -44,7 +45,7 @@
     cluster.longestWork = (1 + random.nextInt(5)) * SECOND;
     InForce inForce = new InForce(cluster);
     try {
-      begin(cluster);
+      cluster.configure(FIRST_LIMIT);
       cluster.watch(inForce);
       for (int step = 0; step < STEPS; step++) {
         act(cluster, random, seed);
@@ -58,32 +59,6 @@
     return cluster.starts.size();
   }
 
-  private static void begin(LocalCluster cluster) {
-    for (int i = 0; i < 4; i++) {
-      cluster.addInstance("w" + i, i / 2, 8);
-    }
-    cluster.runUntil(30 * SECOND, cluster::isSettled);
-    cluster.set(
-        cluster.node(0),
-        "/pools/p/max-unavailable",
-        "1",
-        "/services/svc/pool",
-        "p",
-        "/teams/t/limit",
-        "12",
-        "/teams/t/keys/k0",
-        LocalCluster.key(0).value(),
-        "/instances/w0/pool",
-        "p",
-        "/instances/w1/pool",
-        "p",
-        "/instances/w2/pool",
-        "p",
-        "/instances/w3/pool",
-        "p");
-    cluster.run(3 * SECOND);
-  }
-
   private static void act(LocalCluster cluster, Random random, long seed) {
     Node node = cluster.node(random.nextInt(cluster.nodes.size()));
     switch (random.nextInt(16)) {
--- a/core/src/test/java/dev/toucanstall/core/reduce/ClusterTest.java
+++ b/core/src/test/java/dev/toucanstall/core/reduce/ClusterTest.java
@@ -25,30 +25,8 @@
 
   private static LocalCluster ready(long seed, int size, int limit) {
     LocalCluster cluster = new LocalCluster(seed, size);
-    for (int i = 0; i < 4; i++) {
-      cluster.addInstance("w" + i, i / 2, 8);
-    }
-    assertThat(cluster.runUntil(30 * SECOND, cluster::isSettled)).isTrue();
     cluster.limit = limit;
-    cluster.set(
-        cluster.node(0),
-        "/pools/p/max-unavailable",
-        "1",
-        "/services/svc/pool",
-        "p",
-        "/teams/t/limit",
-        String.valueOf(limit),
-        "/teams/t/keys/k",
-        LocalCluster.key(1).value(),
-        "/instances/w0/pool",
-        "p",
-        "/instances/w1/pool",
-        "p",
-        "/instances/w2/pool",
-        "p",
-        "/instances/w3/pool",
-        "p");
-    cluster.run(3 * SECOND);
+    assertThat(cluster.configure(limit)).isTrue();
     return cluster;
   }
 
@@ -98,7 +76,7 @@
   void fullLoadStaysWithinTheLimitAndUsesAllOfIt() {
     LocalCluster cluster = ready(3, 5, 12);
 
-    load(cluster, 10, 100, LocalCluster.key(1));
+    load(cluster, 10, 100, LocalCluster.key(0));
     cluster.run(15 * SECOND);
 
     assertThat(cluster.largestTeamUse).isEqualTo(12);
@@ -110,7 +88,7 @@
     for (int i = 0; i < 600; i++) {
       cluster.at(
           cluster.now + i * 10 * MILLI,
-          () -> cluster.submit(cluster.node(2), LocalCluster.key(1), null, true, 4 * SECOND));
+          () -> cluster.submit(cluster.node(2), LocalCluster.key(0), null, true, 4 * SECOND));
     }
     cluster.run(8 * SECOND);
 
@@ -138,10 +116,10 @@
   void withdrawnKeyStopsWorkAtAnInstanceCutOffFromAll() {
     LocalCluster cluster = ready(6, 5, 20);
     Node cutOff = cluster.node(4);
-    load(cluster, 20, 50, LocalCluster.key(1));
+    load(cluster, 20, 50, LocalCluster.key(0));
     cluster.run(2 * SECOND);
     cluster.cut(cutOff, true, true);
-    cluster.set(cluster.node(0), "/teams/t/keys/k", "");
+    cluster.set(cluster.node(0), "/teams/t/keys/k0", "");
     long withdrawn = cluster.now;
     cluster.run(18 * SECOND);
 
@@ -151,10 +129,10 @@
   @Test
   void withdrawnKeyStopsWorkAtAnInstanceThatWasFrozen() {
     LocalCluster cluster = ready(7, 5, 20);
-    load(cluster, 20, 50, LocalCluster.key(1));
+    load(cluster, 20, 50, LocalCluster.key(0));
     cluster.run(2 * SECOND);
     cluster.freeze(cluster.node(4), 9 * SECOND);
-    cluster.set(cluster.node(0), "/teams/t/keys/k", "");
+    cluster.set(cluster.node(0), "/teams/t/keys/k0", "");
     long withdrawn = cluster.now;
     cluster.run(18 * SECOND);
 
@@ -166,7 +144,7 @@
     LocalCluster cluster = ready(8, 5, 20);
     cluster.logUp = false;
     cluster.run(60 * SECOND);
-    load(cluster, 5, 20, LocalCluster.key(1));
+    load(cluster, 5, 20, LocalCluster.key(0));
     cluster.run(10 * SECOND);
 
     assertThat(cluster.outcomes.values()).doesNotContain("cut-off");
@@ -179,7 +157,7 @@
     cluster.logUp = false;
     cluster.cut(cluster.node(1), true, true);
     cluster.run(6 * SECOND);
-    long number = cluster.submit(cluster.node(1), LocalCluster.key(1), null, true, SECOND);
+    long number = cluster.submit(cluster.node(1), LocalCluster.key(0), null, true, SECOND);
     cluster.run(2 * SECOND);
 
     assertThat(cluster.outcomes).containsEntry(number, "cut-off");
@@ -191,7 +169,7 @@
     LocalCluster cluster = ready(10, 5, 20);
     cluster.cut(cluster.node(1), true, true);
     cluster.run(4 * SECOND);
-    long number = cluster.submit(cluster.node(1), LocalCluster.key(1), null, true, SECOND);
+    long number = cluster.submit(cluster.node(1), LocalCluster.key(0), null, true, SECOND);
     cluster.run(2 * SECOND);
 
     assertThat(cluster.outcomes).containsEntry(number, "ok");
@@ -200,7 +178,7 @@
   @Test
   void killedInstanceIsEvictedAndItsSlotsReturn() {
     LocalCluster cluster = ready(11, 5, 20);
-    load(cluster, 3, 50, LocalCluster.key(1));
+    load(cluster, 3, 50, LocalCluster.key(0));
     cluster.run(2 * SECOND);
     cluster.kill(cluster.node(3));
 
@@ -214,7 +192,7 @@
   @Test
   void restartedInstanceWaitsForWhatItsEarlierStartLeft() {
     LocalCluster cluster = ready(12, 3, 9);
-    load(cluster, 12, 60, LocalCluster.key(1));
+    load(cluster, 12, 60, LocalCluster.key(0));
     cluster.run(2 * SECOND);
     cluster.kill(cluster.node(2));
     cluster.run(300 * MILLI);
@@ -233,8 +211,8 @@
   void requestIdRunsOnceThroughTwoInstances() {
     LocalCluster cluster = ready(13, 5, 20);
     cluster.run(LocalCluster.TIMING.claimWindow() + SECOND);
-    long first = cluster.submit(cluster.node(0), LocalCluster.key(1), "a", false, 3 * SECOND);
-    long second = cluster.submit(cluster.node(1), LocalCluster.key(1), "a", false, 3 * SECOND);
+    long first = cluster.submit(cluster.node(0), LocalCluster.key(0), "a", false, 3 * SECOND);
+    long second = cluster.submit(cluster.node(1), LocalCluster.key(0), "a", false, 3 * SECOND);
     cluster.run(4 * SECOND);
 
     assertThat(cluster.runsById).containsEntry("a", 1);
@@ -245,10 +223,10 @@
   @Test
   void requestIdRunsOnceAcrossTheDeathOfItsHolder() {
     LocalCluster cluster = ready(14, 5, 20);
-    cluster.submit(cluster.node(0), LocalCluster.key(1), "b", false, 3 * SECOND);
+    cluster.submit(cluster.node(0), LocalCluster.key(0), "b", false, 3 * SECOND);
     cluster.run(20 * MILLI);
     cluster.kill(cluster.node(0));
-    long again = cluster.submit(cluster.node(1), LocalCluster.key(1), "b", false, 3 * SECOND);
+    long again = cluster.submit(cluster.node(1), LocalCluster.key(0), "b", false, 3 * SECOND);
     cluster.run(5 * SECOND);
 
     assertThat(cluster.runsById.getOrDefault("b", 0)).isAtMost(1);
@@ -259,7 +237,7 @@
   void requestIdRunsOnceAcrossChangesOfMembers() {
     LocalCluster cluster = ready(19, 6, 20);
     for (int i = 0; i < 40; i++) {
-      cluster.submit(cluster.node(0), LocalCluster.key(1), "m" + i, false, 3 * SECOND);
+      cluster.submit(cluster.node(0), LocalCluster.key(0), "m" + i, false, 3 * SECOND);
     }
     cluster.run(4 * SECOND);
     for (int i = 1; i <= 3; i++) {
@@ -268,7 +246,7 @@
     }
     cluster.run(10 * SECOND);
     for (int i = 0; i < 40; i++) {
-      cluster.submit(cluster.node(4), LocalCluster.key(1), "m" + i, false, 3 * SECOND);
+      cluster.submit(cluster.node(4), LocalCluster.key(0), "m" + i, false, 3 * SECOND);
     }
     cluster.run(4 * SECOND);
 
@@ -278,14 +256,14 @@
   @Test
   void refusedRequestIdMayBeSentAgain() {
     LocalCluster cluster = ready(15, 3, 0);
-    long refused = cluster.submit(cluster.node(0), LocalCluster.key(1), "c", false, SECOND);
+    long refused = cluster.submit(cluster.node(0), LocalCluster.key(0), "c", false, SECOND);
     cluster.run(2 * SECOND);
     assertThat(cluster.outcomes).containsEntry(refused, "too-late");
 
     cluster.limit = 5;
     cluster.set(cluster.node(0), "/teams/t/limit", "5");
     cluster.run(2 * SECOND);
-    long again = cluster.submit(cluster.node(1), LocalCluster.key(1), "c", false, 3 * SECOND);
+    long again = cluster.submit(cluster.node(1), LocalCluster.key(0), "c", false, 3 * SECOND);
     cluster.run(4 * SECOND);
 
     assertThat(cluster.outcomes).containsEntry(again, "ok");
@@ -294,7 +272,7 @@
   @Test
   void waveRestartsEveryInstanceWithinTheBudgetUnderLoad() {
     LocalCluster cluster = ready(16, 3, 20);
-    load(cluster, 60, 30, LocalCluster.key(1));
+    load(cluster, 60, 30, LocalCluster.key(0));
     cluster.set(
         cluster.node(1),
         "/waves/w/pool",
@@ -316,7 +294,7 @@
   @Test
   void stopLeavesTheMembersWithNothingInFlight() {
     LocalCluster cluster = ready(17, 4, 20);
-    load(cluster, 6, 40, LocalCluster.key(1));
+    load(cluster, 6, 40, LocalCluster.key(0));
     cluster.run(2 * SECOND);
     Node leaving = cluster.node(2);
     cluster.deliver(leaving, new Event.StopRequested(leaving.clock()));
--- a/core/src/test/java/dev/toucanstall/core/reduce/LocalCluster.java
+++ b/core/src/test/java/dev/toucanstall/core/reduce/LocalCluster.java
@@ -35,6 +35,7 @@
 import java.util.Random;
 import java.util.Set;
 import java.util.TreeMap;
+import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.BooleanSupplier;
 import org.jspecify.annotations.Nullable;
 
@@ -147,7 +148,7 @@
 
   /** A request as submitted through one entry instance. */
   record Submission(
-      long number, Arrival arrival, String node, long incarnation, boolean[] started) {}
+      long number, Arrival arrival, String node, long incarnation, AtomicBoolean started) {}
 
   LocalCluster(long seed, int size) {
     random = new Random(seed);
@@ -422,7 +423,8 @@
       return number;
     }
     long incarnation = node.incarnation;
-    node.held.put(number, new Submission(number, arrival, node.name, incarnation, new boolean[1]));
+    node.held.put(
+        number, new Submission(number, arrival, node.name, incarnation, new AtomicBoolean()));
     whenAwake(node, () -> deliver(node, new Event.RequestArrived(node.clock(), number, arrival)));
     at(
         now + patience,
@@ -459,7 +461,7 @@
               new AttemptResult.PermissionExpired()));
       return;
     }
-    submission.started[0] = true;
+    submission.started.set(true);
     KeyDigest key = submission.arrival.key();
     check(
         inForce == null || key == null || !inForce.isWithdrawn(key),
@@ -531,7 +533,8 @@
     }
     boolean notRun = refuse.refusal().verdict() == Verdict.NOT_RUN;
     check(
-        !(notRun && submission.started[0]), "refusal says not-run but the request ran: " + refuse);
+        !(notRun && submission.started.get()),
+        "refusal says not-run but the request ran: " + refuse);
     end(node, refuse.number(), refuse.refusal().code().text());
   }
 
@@ -608,6 +611,34 @@
     deliver(node, new Event.OperatorAsked(node.clock(), lastHandle, change));
   }
 
+  /** Lets members join, then sets up four instances, a pool, a service and a team with a key. */
+  boolean configure(int teamLimit) {
+    for (int i = 0; i < 4; i++) {
+      addInstance("w" + i, i / 2, 8);
+    }
+    boolean settled = runUntil(30 * SECOND, this::isSettled);
+    set(
+        node(0),
+        "/pools/p/max-unavailable",
+        "1",
+        "/services/svc/pool",
+        "p",
+        "/teams/t/limit",
+        String.valueOf(teamLimit),
+        "/teams/t/keys/k0",
+        key(0).value(),
+        "/instances/w0/pool",
+        "p",
+        "/instances/w1/pool",
+        "p",
+        "/instances/w2/pool",
+        "p",
+        "/instances/w3/pool",
+        "p");
+    run(3 * SECOND);
+    return settled;
+  }
+
   /** Asks a node something as an operator. */
   OperatorAnswer ask(Node node, OperatorRequest request) {
     lastHandle++;
