Narrow the bars of the burn page

Cause: with few minutes of data one bar filled the plot (seen on a rendering of the demo's page). Ruled out: nothing. Change: bars are at most 2 percent of the plot wide.

--- a/cli/src/main/java/dev/toucanstall/cli/report/BurnHtml.java
+++ b/cli/src/main/java/dev/toucanstall/cli/report/BurnHtml.java
@@ -23,6 +23,7 @@
 
   private static final int WIDTH = 860;
   private static final int HEIGHT = 240;
+  private static final double WIDEST_BAR = 0.02;
   private static final double PPM_PER_PERCENT = 10_000;
   private static final Color GOOD = new Color(0x2b, 0x83, 0xba);
   private static final Color BAD = new Color(0xd7, 0x19, 0x1c);
@@ -128,6 +129,7 @@
     BarRenderer renderer = (BarRenderer) plot.getRenderer();
     renderer.setBarPainter(new StandardBarPainter());
     renderer.setShadowVisible(false);
+    renderer.setMaximumBarWidth(WIDEST_BAR);
     renderer.setSeriesPaint(0, GOOD);
     renderer.setSeriesPaint(1, BAD);
     return chart;
