--- /dev/null
+++ b/core/src/main/java/dev/toucanstall/core/job/JobRecord.java
@@ -0,0 +1,69 @@
+package dev.toucanstall.core.job;
+
+import java.util.List;
+
+/** What the planner stores of a job. The newest record of each key stands for the whole past. */
+public sealed interface JobRecord {
+
+  /**
+   * Returns the job's id.
+   *
+   * @return the id
+   */
+  String job();
+
+  /**
+   * A job was handed in.
+   *
+   * @param job the id
+   * @param queue the queue's name
+   * @param service the pool that ran the queue then
+   * @param account the client account, empty on an open queue
+   * @param submittedMs when, Unix milliseconds
+   * @param spec the job
+   */
+  record Submitted(
+      String job, String queue, String service, String account, long submittedMs, JobSpec spec)
+      implements JobRecord {}
+
+  /**
+   * How far a job is; replaces earlier records of its kind.
+   *
+   * @param job the id
+   * @param phase how far
+   * @param endedMs when it ended, Unix milliseconds, 0 if it has not
+   * @param tasks the tasks that have begun
+   */
+  record Progress(String job, JobPhase phase, long endedMs, List<TaskProgress> tasks)
+      implements JobRecord {
+
+    /** Copies the list. */
+    public Progress {
+      tasks = List.copyOf(tasks);
+    }
+  }
+
+  /**
+   * How far a task is.
+   *
+   * @param occurrence the occurrence
+   * @param step the step's number
+   * @param index the task's number in the step
+   * @param phase how far
+   * @param run the newest run's number, 0 if none
+   * @param server the backend server of a bound task, else empty
+   * @param bornMs when that life of the backend server began
+   * @param failures how often it has failed
+   * @param saved the newest checkpoint, empty if none
+   */
+  record TaskProgress(
+      int occurrence,
+      int step,
+      int index,
+      TaskPhase phase,
+      long run,
+      String server,
+      long bornMs,
+      int failures,
+      String saved) {}
+}
--- /dev/null
+++ b/core/src/main/java/dev/toucanstall/core/job/ServerEntry.java
@@ -0,0 +1,34 @@
+package dev.toucanstall.core.job;
+
+import dev.toucanstall.core.model.Address;
+import java.util.Set;
+
+/**
+ * What a backend server says of itself. Immutable.
+ *
+ * @param id one life of a backend server
+ * @param bornMs when this life began, Unix milliseconds, 0 if not told
+ * @param service the pool that it belongs to
+ * @param address where it takes orders
+ * @param dataCentre where it stands
+ * @param draining whether it is about to leave
+ * @param capacity what it has for tasks
+ * @param labels its kind and its rack
+ * @param clockMs its steady clock when it said so
+ */
+public record ServerEntry(
+    String id,
+    long bornMs,
+    String service,
+    Address address,
+    String dataCentre,
+    boolean draining,
+    Resources capacity,
+    Set<String> labels,
+    long clockMs) {
+
+  /** Copies the set. */
+  public ServerEntry {
+    labels = Set.copyOf(labels);
+  }
+}
--- /dev/null
+++ b/core/src/main/java/dev/toucanstall/core/node/Delivery.java
@@ -0,0 +1,137 @@
+package dev.toucanstall.core.node;
+
+import dev.toucanstall.core.job.JobAnswer;
+import dev.toucanstall.core.job.JobAnswer.Reason;
+import dev.toucanstall.core.job.JobCall;
+import dev.toucanstall.core.model.Address;
+import dev.toucanstall.core.plan.Now;
+import dev.toucanstall.core.plan.PlanEvent;
+import java.util.List;
+import java.util.Map;
+
+/** Brings calls to the planner, again if that is replaced: every call is idempotent. */
+final class Delivery {
+
+  /** Longest wait for the planner's answer, in milliseconds. */
+  private static final long LONGEST_WAIT_MS = 2_000;
+
+  /** Time that an answer needs back to the client, in milliseconds. */
+  private static final long WAY_BACK_MS = 200;
+
+  private static final long SHORTEST_WAIT_MS = 200;
+
+  private Delivery() {}
+
+  static void deliver(Node node, long ticket, JobCall call, long waitMs, Now now) {
+    long wait = Math.clamp(waitMs - WAY_BACK_MS, SHORTEST_WAIT_MS, LONGEST_WAIT_MS);
+    Pending pending = new Pending(call, now.steadyMs() + wait);
+    if (node.plan == null && !(node.leader != null && node.leaderReachable)) {
+      node.note("call-refused", "call", call.toString(), "reason", Reason.NO_PLANNER.name());
+      node.emit(
+          new NodeEffect.Answer(
+              ticket, new JobAnswer.Refused(Reason.NO_PLANNER, Admission.RETRY_AFTER_MS)));
+      return;
+    }
+    node.pending.put(ticket, pending);
+    send(node, ticket, pending, now);
+  }
+
+  private static void send(Node node, long ticket, Pending pending, Now now) {
+    Leader leader = node.leader;
+    if (node.plan != null) {
+      pending.planned = true;
+      Terms.tell(node, new PlanEvent.Called(ticket, pending.call), now);
+    } else if (leader != null && node.leaderReachable) {
+      pending.asked = leader.address();
+      node.emit(new NodeEffect.AskPeer(leader.address(), ticket, pending.call));
+    }
+  }
+
+  /** Sends the calls that wait for a planner. */
+  static void sendWaiting(Node node, Now now) {
+    List.copyOf(node.pending.entrySet()).stream()
+        .filter(e -> e.getValue().asked == null && !e.getValue().planned)
+        .forEach(e -> send(node, e.getKey(), e.getValue(), now));
+  }
+
+  static void asked(Node node, NodeEvent.PeerAsked asked, Now now) {
+    if (node.plan == null) {
+      node.emit(new NodeEffect.DeclinePeer(asked.link(), asked.number()));
+      return;
+    }
+    long ticket = node.nextTicket++;
+    node.origins.put(ticket, new Node.Origin(asked.link(), asked.number()));
+    Terms.tell(node, new PlanEvent.Called(ticket, asked.call()), now);
+  }
+
+  /** Passes an answer on to the client or entry instance that asked. */
+  static void answered(Node node, long ticket, JobAnswer answer) {
+    Node.Origin origin = node.origins.remove(ticket);
+    if (origin != null) {
+      node.emit(new NodeEffect.AnswerPeer(origin.link(), origin.number(), answer));
+    } else if (node.pending.remove(ticket) != null) {
+      node.emit(new NodeEffect.Answer(ticket, answer));
+    }
+  }
+
+  static void declined(Node node, long ticket) {
+    Pending pending = node.pending.get(ticket);
+    if (pending == null) {
+      return;
+    }
+    Leader leader = node.leader;
+    if (leader != null && leader.address().equals(pending.asked)) {
+      node.leaderReachable = false;
+    }
+    pending.asked = null;
+  }
+
+  static void linkUp(Node node, Address address, Now now) {
+    Leader leader = node.leader;
+    if (leader != null && leader.address().equals(address) && !node.leaderReachable) {
+      node.note("planner-reachable", "planner", leader.member());
+      node.leaderReachable = true;
+      sendWaiting(node, now);
+    }
+  }
+
+  static void linkDown(Node node, NodeEvent.LinkDown down) {
+    Leader leader = node.leader;
+    if (leader != null && leader.address().equals(down.address()) && node.leaderReachable) {
+      node.note("planner-unreachable", "planner", leader.member(), "why", down.why());
+      node.leaderReachable = false;
+    }
+    node.pending.values().stream()
+        .filter(p -> down.address().equals(p.asked))
+        .forEach(p -> p.asked = null);
+  }
+
+  /** Ends the wait of calls whose time is up. */
+  static void expire(Node node, Now now) {
+    List<Map.Entry<Long, Pending>> late =
+        node.pending.entrySet().stream()
+            .filter(e -> now.steadyMs() >= e.getValue().deadlineMs)
+            .map(e -> Map.entry(e.getKey(), e.getValue()))
+            .toList();
+    for (Map.Entry<Long, Pending> entry : late) {
+      node.pending.remove(entry.getKey());
+      JobCall call = entry.getValue().call;
+      node.note("call-expired", "call", name(call), "queue", call.queue());
+      node.emit(
+          new NodeEffect.Answer(
+              entry.getKey(),
+              entry.getValue().changes()
+                  ? new JobAnswer.Uncertain()
+                  : new JobAnswer.Refused(Reason.NO_PLANNER, Admission.RETRY_AFTER_MS)));
+    }
+  }
+
+  private static String name(JobCall call) {
+    return switch (call) {
+      case JobCall.Submit submit -> "submit " + submit.job();
+      case JobCall.Show show -> "show " + show.job();
+      case JobCall.Cancel cancel -> "cancel " + cancel.job();
+      case JobCall.Count count -> "count " + count.queue();
+    };
+  }
+}
--- /dev/null
+++ b/core/src/main/java/dev/toucanstall/core/node/Node.java
@@ -0,0 +1,78 @@
+package dev.toucanstall.core.node;
+
+import dev.toucanstall.core.job.Catalog;
+import dev.toucanstall.core.plan.Now;
+import dev.toucanstall.core.plan.Plan;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * The state of an entry instance. Owned by the control thread and changed in place; only {@link
+ * NodeReducer} changes it.
+ */
+public final class Node {
+
+  /** Where an answer of this entry instance's own planner goes. */
+  record Origin(long link, long number) {}
+
+  final String name;
+  final Map<Long, Pending> pending = new LinkedHashMap<>();
+  final Map<Long, Origin> origins = new HashMap<>();
+  @Nullable Catalog catalog;
+  @Nullable Leader leader;
+  @Nullable Plan plan;
+
+  /** When the configuration was last asked for and is known to be the newest. */
+  long catalogAskedMs = Long.MIN_VALUE / 2;
+
+  boolean leaderReachable;
+  boolean electing;
+  long electAfterMs;
+  boolean ready;
+  boolean stopping;
+  long exitAtMs;
+  long nextTicket = 1L << 40;
+  @Nullable Now last;
+
+  private List<NodeEffect> out = new ArrayList<>();
+
+  /**
+   * Creates the state of an entry instance that knows nothing yet.
+   *
+   * @param name the instance's name
+   */
+  public Node(String name) {
+    this.name = name;
+  }
+
+  /**
+   * Tells whether this entry instance plans.
+   *
+   * @return true if so
+   */
+  public boolean plans() {
+    return plan != null;
+  }
+
+  void emit(NodeEffect effect) {
+    out.add(effect);
+  }
+
+  void note(String event, String... fields) {
+    Map<String, String> named = new LinkedHashMap<>();
+    for (int i = 0; i + 1 < fields.length; i += 2) {
+      named.put(fields[i], fields[i + 1]);
+    }
+    emit(new NodeEffect.Note(event, named));
+  }
+
+  List<NodeEffect> takeEffects() {
+    List<NodeEffect> taken = out;
+    out = new ArrayList<>();
+    return taken;
+  }
+}
--- /dev/null
+++ b/core/src/main/java/dev/toucanstall/core/node/NodeEffect.java
@@ -0,0 +1,94 @@
+package dev.toucanstall.core.node;
+
+import dev.toucanstall.core.job.JobAnswer;
+import dev.toucanstall.core.job.JobCall;
+import dev.toucanstall.core.model.Address;
+import dev.toucanstall.core.plan.PlanEffect;
+import java.util.Map;
+
+/** What an entry instance wants done. */
+public sealed interface NodeEffect {
+
+  /**
+   * Answer a client.
+   *
+   * @param ticket the call
+   * @param answer the answer
+   */
+  record Answer(long ticket, JobAnswer answer) implements NodeEffect {}
+
+  /**
+   * Ask the planner.
+   *
+   * @param planner where it is
+   * @param ticket names the call in its answer
+   * @param call the call
+   */
+  record AskPeer(Address planner, long ticket, JobCall call) implements NodeEffect {}
+
+  /**
+   * Answer another entry instance.
+   *
+   * @param link the link that the call came by
+   * @param number the call
+   * @param answer the answer
+   */
+  record AnswerPeer(long link, long number, JobAnswer answer) implements NodeEffect {}
+
+  /**
+   * Tell another entry instance that this one does not plan.
+   *
+   * @param link the link that the call came by
+   * @param number the call
+   */
+  record DeclinePeer(long link, long number) implements NodeEffect {}
+
+  /**
+   * Keep a link to the planner from now on.
+   *
+   * @param planner where it is
+   */
+  record Follow(Address planner) implements NodeEffect {}
+
+  /** Try to become the planner. */
+  record Elect() implements NodeEffect {}
+
+  /**
+   * Tell all entry instances that this one plans, and read the list of backend servers.
+   *
+   * @param epoch its fencing token
+   */
+  record Announce(long epoch) implements NodeEffect {}
+
+  /** No longer read the list of backend servers. */
+  record EndTerm() implements NodeEffect {}
+
+  /**
+   * Carry out what the planner wants.
+   *
+   * @param epoch the term
+   * @param effect what
+   */
+  record OfPlan(long epoch, PlanEffect effect) implements NodeEffect {}
+
+  /** Leave the group, so that another entry instance plans. */
+  record LeaveGroup() implements NodeEffect {}
+
+  /**
+   * Answer readiness probes from now on so.
+   *
+   * @param ready whether the balancer should send clients
+   */
+  record SetReady(boolean ready) implements NodeEffect {}
+
+  /** End the process. */
+  record Exit() implements NodeEffect {}
+
+  /**
+   * Write a log line.
+   *
+   * @param event the stable name of what was decided
+   * @param fields what decided it
+   */
+  record Note(String event, Map<String, String> fields) implements NodeEffect {}
+}
--- /dev/null
+++ b/core/src/main/java/dev/toucanstall/core/node/NodeEvent.java
@@ -0,0 +1,119 @@
+package dev.toucanstall.core.node;
+
+import dev.toucanstall.core.job.Catalog;
+import dev.toucanstall.core.job.JobAnswer;
+import dev.toucanstall.core.job.JobCall;
+import dev.toucanstall.core.job.JobRecord;
+import dev.toucanstall.core.model.Address;
+import dev.toucanstall.core.plan.PlanEvent;
+import java.util.List;
+import org.jspecify.annotations.Nullable;
+
+/** What an entry instance is told. */
+public sealed interface NodeEvent {
+
+  /** Time has passed. */
+  record Tick() implements NodeEvent {}
+
+  /**
+   * A client called.
+   *
+   * @param ticket names the call in its answer
+   * @param call the call
+   */
+  record Called(long ticket, ClientCall call) implements NodeEvent {}
+
+  /**
+   * Another entry instance asked.
+   *
+   * @param link the link that it came by
+   * @param number names the call on that link
+   * @param call the call
+   */
+  record PeerAsked(long link, long number, JobCall call) implements NodeEvent {}
+
+  /**
+   * The planner answered.
+   *
+   * @param ticket the call
+   * @param answer the answer
+   */
+  record PeerAnswered(long ticket, JobAnswer answer) implements NodeEvent {}
+
+  /**
+   * The entry instance that was asked does not plan.
+   *
+   * @param ticket the call
+   */
+  record PeerDeclined(long ticket) implements NodeEvent {}
+
+  /**
+   * The link to an entry instance works.
+   *
+   * @param address the entry instance
+   */
+  record LinkUp(Address address) implements NodeEvent {}
+
+  /**
+   * The link to an entry instance broke or could not be made.
+   *
+   * @param address the entry instance
+   * @param why what went wrong
+   */
+  record LinkDown(Address address, String why) implements NodeEvent {}
+
+  /**
+   * The store was asked for the newest configuration and answered.
+   *
+   * @param askedMs when it was asked, steady milliseconds
+   * @param catalog the newest version, null if there is none newer than the last
+   */
+  record CatalogRead(long askedMs, @Nullable Catalog catalog) implements NodeEvent {}
+
+  /**
+   * The store names the planner.
+   *
+   * @param leader the planner
+   */
+  record LeaderRead(Leader leader) implements NodeEvent {}
+
+  /**
+   * The group of entry instances has told whether this one should plan.
+   *
+   * @param holder whether it should
+   */
+  record Joined(boolean holder) implements NodeEvent {}
+
+  /**
+   * This entry instance has become the planner.
+   *
+   * @param epoch its fencing token
+   * @param firstSequence the number of its first append
+   * @param records the newest record of each key, submissions before progress
+   */
+  record Elected(long epoch, long firstSequence, List<JobRecord> records) implements NodeEvent {
+
+    /** Copies the list. */
+    public Elected {
+      records = List.copyOf(records);
+    }
+  }
+
+  /**
+   * This entry instance has not become the planner.
+   *
+   * @param why what went wrong
+   */
+  record NotElected(String why) implements NodeEvent {}
+
+  /**
+   * Something for the planner.
+   *
+   * @param epoch the term that it belongs to
+   * @param event what
+   */
+  record ForPlan(long epoch, PlanEvent event) implements NodeEvent {}
+
+  /** The process is to stop. */
+  record StopAsked() implements NodeEvent {}
+}
--- /dev/null
+++ b/core/src/main/java/dev/toucanstall/core/node/NodeMessage.java
@@ -0,0 +1,38 @@
+package dev.toucanstall.core.node;
+
+import dev.toucanstall.core.job.JobAnswer;
+import dev.toucanstall.core.job.JobCall;
+
+/** What entry instances send each other about jobs. */
+public sealed interface NodeMessage {
+
+  /**
+   * Asks the planner.
+   *
+   * @param number names the call in its answer
+   * @param call the call
+   */
+  record Ask(long number, JobCall call) implements NodeMessage {}
+
+  /**
+   * Answers a call.
+   *
+   * @param number the call
+   * @param answer the answer
+   */
+  record Reply(long number, JobAnswer answer) implements NodeMessage {}
+
+  /**
+   * Says that the receiver of a call does not plan, or no longer; the call may be asked elsewhere.
+   *
+   * @param number the call
+   */
+  record NotPlanner(long number) implements NodeMessage {}
+
+  /**
+   * Asks whether the link works; answered by the same.
+   *
+   * @param sentMs the sender's clock
+   */
+  record Ping(long sentMs) implements NodeMessage {}
+}
--- /dev/null
+++ b/core/src/main/java/dev/toucanstall/core/node/NodeReducer.java
@@ -0,0 +1,51 @@
+package dev.toucanstall.core.node;
+
+import dev.toucanstall.core.plan.Now;
+import dev.toucanstall.core.plan.PlanEvent;
+import java.util.List;
+
+/**
+ * The one reducer over all events of an entry instance. It does no I/O and reads no clock; the
+ * state is owned by the calling thread.
+ */
+public final class NodeReducer {
+
+  private NodeReducer() {}
+
+  /**
+   * Decides on an event.
+   *
+   * @param node the state, changed in place
+   * @param event the event
+   * @param now the time
+   * @return what is to be carried out, in order
+   */
+  public static List<NodeEffect> reduce(Node node, NodeEvent event, Now now) {
+    FreshnessRules.notice(node, now);
+    switch (event) {
+      case NodeEvent.Tick tick -> tick(node, now);
+      case NodeEvent.Called called -> Admission.decide(node, called, now);
+      case NodeEvent.PeerAsked asked -> Delivery.asked(node, asked, now);
+      case NodeEvent.PeerAnswered answered ->
+          Delivery.answered(node, answered.ticket(), answered.answer());
+      case NodeEvent.PeerDeclined declined -> Delivery.declined(node, declined.ticket());
+      case NodeEvent.LinkUp up -> Delivery.linkUp(node, up.address(), now);
+      case NodeEvent.LinkDown down -> Delivery.linkDown(node, down);
+      case NodeEvent.CatalogRead read -> FreshnessRules.read(node, read, now);
+      case NodeEvent.LeaderRead read -> Terms.leaderRead(node, read.leader(), now);
+      case NodeEvent.Joined joined -> Terms.joined(node, joined.holder(), now);
+      case NodeEvent.Elected elected -> Terms.elected(node, elected, now);
+      case NodeEvent.NotElected failed -> Terms.notElected(node, failed.why(), now);
+      case NodeEvent.ForPlan forPlan -> Terms.tell(node, forPlan.epoch(), forPlan.event(), now);
+      case NodeEvent.StopAsked stop -> Terms.stop(node, now);
+    }
+    FreshnessRules.updateReadiness(node, now);
+    return node.takeEffects();
+  }
+
+  private static void tick(Node node, Now now) {
+    Terms.tell(node, new PlanEvent.Tick(), now);
+    Delivery.expire(node, now);
+    Terms.exitIfDone(node, now);
+  }
+}
--- /dev/null
+++ b/core/src/main/java/dev/toucanstall/core/node/Terms.java
@@ -0,0 +1,132 @@
+package dev.toucanstall.core.node;
+
+import dev.toucanstall.core.job.Catalog;
+import dev.toucanstall.core.plan.Now;
+import dev.toucanstall.core.plan.Plan;
+import dev.toucanstall.core.plan.PlanEffect;
+import dev.toucanstall.core.plan.PlanEvent;
+import dev.toucanstall.core.plan.PlanReducer;
+import java.util.List;
+
+/** Decides when this entry instance plans and when it ends. */
+final class Terms {
+
+  /** Pause after a failed try to become the planner, in milliseconds. */
+  private static final long ELECT_PAUSE_MS = 150;
+
+  /** How long a stopping process goes on answering, in milliseconds. */
+  private static final long STOP_MS = 3_000;
+
+  private Terms() {}
+
+  static void joined(Node node, boolean holder, Now now) {
+    if (!holder
+        || node.plan != null
+        || node.electing
+        || node.stopping
+        || node.catalog == null
+        || now.steadyMs() < node.electAfterMs) {
+      return;
+    }
+    node.electing = true;
+    node.note("election-begun");
+    node.emit(new NodeEffect.Elect());
+  }
+
+  static void notElected(Node node, String why, Now now) {
+    node.electing = false;
+    node.electAfterMs = now.steadyMs() + ELECT_PAUSE_MS;
+    node.note("election-failed", "why", why);
+  }
+
+  static void elected(Node node, NodeEvent.Elected elected, Now now) {
+    node.electing = false;
+    Catalog catalog = node.catalog;
+    if (catalog == null) {
+      node.note("election-dropped", "why", "no configuration is known");
+      return;
+    }
+    node.plan = new Plan(elected.epoch(), elected.firstSequence(), catalog, elected.records(), now);
+    node.note(
+        "planner-elected",
+        "epoch",
+        Long.toString(elected.epoch()),
+        "records",
+        Integer.toString(elected.records().size()));
+    node.emit(new NodeEffect.Announce(elected.epoch()));
+    node.pending.values().forEach(p -> p.asked = null);
+    Delivery.sendWaiting(node, now);
+  }
+
+  static void leaderRead(Node node, Leader leader, Now now) {
+    Leader known = node.leader;
+    if (known != null && known.epoch() >= leader.epoch()) {
+      return;
+    }
+    node.leader = leader;
+    node.leaderReachable = true;
+    node.note("planner-named", "planner", leader.member(), "epoch", Long.toString(leader.epoch()));
+    node.emit(new NodeEffect.Follow(leader.address()));
+    Plan plan = node.plan;
+    if (plan != null && plan.epoch() < leader.epoch()) {
+      resign(node, "the store names planner " + leader.member());
+    }
+    node.pending.values().stream()
+        .filter(p -> !leader.address().equals(p.asked))
+        .forEach(p -> p.asked = null);
+    Delivery.sendWaiting(node, now);
+  }
+
+  /** Tells the planner something that belongs to a term. */
+  static void tell(Node node, long epoch, PlanEvent event, Now now) {
+    Plan plan = node.plan;
+    if (plan != null && plan.epoch() == epoch) {
+      tell(node, event, now);
+    }
+  }
+
+  /** Tells the planner something, if there is one here. */
+  static void tell(Node node, PlanEvent event, Now now) {
+    Plan plan = node.plan;
+    if (plan == null) {
+      return;
+    }
+    List<PlanEffect> effects = PlanReducer.reduce(plan, event, now);
+    for (PlanEffect effect : effects) {
+      switch (effect) {
+        case PlanEffect.Answer answer -> Delivery.answered(node, answer.ticket(), answer.answer());
+        case PlanEffect.Resign resign -> {
+          resign(node, resign.why());
+          return;
+        }
+        case PlanEffect.Note note -> node.emit(new NodeEffect.Note(note.event(), note.fields()));
+        default -> node.emit(new NodeEffect.OfPlan(plan.epoch(), effect));
+      }
+    }
+  }
+
+  private static void resign(Node node, String why) {
+    node.note("planner-resigned", "why", why);
+    node.plan = null;
+    node.emit(new NodeEffect.EndTerm());
+    node.origins.values().forEach(o -> node.emit(new NodeEffect.DeclinePeer(o.link(), o.number())));
+    node.origins.clear();
+    node.pending.values().forEach(p -> p.planned = false);
+  }
+
+  static void stop(Node node, Now now) {
+    if (node.stopping) {
+      return;
+    }
+    node.stopping = true;
+    node.exitAtMs = now.steadyMs() + STOP_MS;
+    node.note("stopping");
+    node.emit(new NodeEffect.LeaveGroup());
+  }
+
+  static void exitIfDone(Node node, Now now) {
+    if (node.stopping && now.steadyMs() >= node.exitAtMs && node.pending.isEmpty()) {
+      node.emit(new NodeEffect.Exit());
+    }
+  }
+}
--- /dev/null
+++ b/core/src/main/java/dev/toucanstall/core/plan/Job.java
@@ -0,0 +1,100 @@
+package dev.toucanstall.core.plan;
+
+import dev.toucanstall.core.job.JobPhase;
+import dev.toucanstall.core.job.JobRecord;
+import dev.toucanstall.core.job.JobSpec;
+import dev.toucanstall.core.job.StepSpec;
+import dev.toucanstall.core.job.TaskKey;
+import dev.toucanstall.core.job.TaskPhase;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.stream.IntStream;
+import java.util.stream.Stream;
+
+/** One job and its tasks. Owned by the control thread. */
+final class Job {
+
+  final Plan plan;
+  final String id;
+  final String queue;
+  final String account;
+  final long submittedMs;
+  final JobSpec spec;
+  String service;
+  JobPhase phase = JobPhase.PENDING;
+  long endedMs;
+  int bound;
+
+  /** Whether its submission was taken back before any append carried it. */
+  boolean withdrawn;
+
+  /** Calls that handed it in during this term and may wait for their answer. */
+  final List<Long> submissions = new ArrayList<>();
+
+  /** Objective as Unix milliseconds; work past it is worth little. */
+  long objectiveMs;
+
+  /** Occurrences by number, steps by number, tasks by index. */
+  final List<List<List<Task>>> occurrences;
+
+  Job(Plan plan, JobRecord.Submitted submitted) {
+    this.plan = plan;
+    this.id = submitted.job();
+    this.queue = submitted.queue();
+    this.service = submitted.service();
+    this.account = submitted.account();
+    this.submittedMs = submitted.submittedMs();
+    this.spec = submitted.spec();
+    this.occurrences =
+        IntStream.range(0, Math.max(1, spec.occurrences())).mapToObj(this::occurrence).toList();
+  }
+
+  private List<List<Task>> occurrence(int number) {
+    List<List<Task>> steps = new ArrayList<>();
+    for (int s = 0; s < spec.steps().size(); s++) {
+      StepSpec step = spec.steps().get(s);
+      List<Task> tasks = new ArrayList<>(step.count());
+      for (int i = 0; i < step.count(); i++) {
+        tasks.add(new Task(this, new TaskKey(id, number, s, i), step));
+      }
+      steps.add(tasks);
+    }
+    return steps;
+  }
+
+  Stream<Task> tasks() {
+    return occurrences.stream().flatMap(List::stream).flatMap(List::stream);
+  }
+
+  /** Returns a task, or nothing if the job has no such task. */
+  Stream<Task> find(TaskKey key) {
+    return tasks().filter(t -> t.key.equals(key));
+  }
+
+  /** Some task has been ordered. */
+  void begun() {
+    if (phase == JobPhase.PENDING) {
+      phase = JobPhase.RUNNING;
+    }
+  }
+
+  static boolean done(List<Task> step) {
+    return step.stream().allMatch(t -> t.phase == TaskPhase.DONE);
+  }
+
+  /** Tells whether a step's turn has come. */
+  boolean open(int occurrence, int step, long wallMs) {
+    List<List<Task>> steps = occurrences.get(occurrence);
+    return wallMs >= spec.dueMs(occurrence)
+        && spec.steps().get(step).after().stream().allMatch(n -> done(steps.get(n)));
+  }
+
+  JobRecord.Submitted submitted() {
+    return new JobRecord.Submitted(id, queue, service, account, submittedMs, spec);
+  }
+
+  JobRecord.Progress progress() {
+    return new JobRecord.Progress(
+        id, phase, endedMs, tasks().filter(Task::begun).map(Task::progress).toList());
+  }
+}
--- /dev/null
+++ b/core/src/main/java/dev/toucanstall/core/plan/JobRules.java
@@ -0,0 +1,104 @@
+package dev.toucanstall.core.plan;
+
+import dev.toucanstall.core.job.Catalog;
+import dev.toucanstall.core.job.JobPhase;
+import dev.toucanstall.core.job.Queue;
+import dev.toucanstall.core.job.StepSpec;
+import dev.toucanstall.core.job.TaskPhase;
+import java.util.ArrayList;
+import java.util.List;
+
+/** Decides how far jobs are. */
+final class JobRules {
+
+  /** How long an ended job can be asked for, in milliseconds. */
+  static final long KEEP_MS = 300_000;
+
+  /** Time between looks at all jobs, in milliseconds. */
+  private static final long SWEEP_MS = 1_000;
+
+  /** Objective of a job whose queue is unknown, in milliseconds. */
+  private static final long UNKNOWN_OBJECTIVE_MS = 5_000;
+
+  private JobRules() {}
+
+  static void add(Plan plan, Job job) {
+    plan.jobs.put(job.id, job);
+    job.objectiveMs = objective(plan, job);
+    plan.open(job);
+  }
+
+  private static long objective(Plan plan, Job job) {
+    Queue queue = plan.queue(job);
+    long due = Math.max(job.submittedMs, job.spec.startAtMs());
+    if (queue == null) {
+      return due + UNKNOWN_OBJECTIVE_MS;
+    }
+    return due + queue.targetMs() + (long) (queue.slack() * chainMs(plan, job));
+  }
+
+  /** Returns the longest chain of work of a job by what has been learned, in milliseconds. */
+  static long chainMs(Plan plan, Job job) {
+    List<StepSpec> steps = job.spec.steps();
+    long[] ends = new long[steps.size()];
+    long longest = 0;
+    for (int s = 0; s < ends.length; s++) {
+      StepSpec step = steps.get(s);
+      long start = step.after().stream().mapToLong(n -> ends[n]).max().orElse(0);
+      ends[s] = start + plan.durations.expectMs(job.queue, step);
+      longest = Math.max(longest, ends[s]);
+    }
+    return longest;
+  }
+
+  /** Looks at a job after one of its tasks has ended. */
+  static void settle(Plan plan, Job job, Now now) {
+    if (!job.phase.ended() && job.tasks().allMatch(t -> t.phase == TaskPhase.DONE)) {
+      end(plan, job, JobPhase.COMPLETED, now);
+    }
+    settleIfEnded(plan, job);
+    plan.dirtyServices.add(job.service);
+  }
+
+  /** Closes an ended job once nothing of it is left on backend servers. */
+  static void settleIfEnded(Plan plan, Job job) {
+    if (job.phase.ended() && job.bound == 0) {
+      plan.close(job);
+    }
+  }
+
+  /** Ends a job; whatever still runs of it is stopped once that is stored. */
+  static void end(Plan plan, Job job, JobPhase phase, Now now) {
+    job.phase = phase;
+    job.endedMs = now.wallMs();
+    plan.ledger.changed(job);
+    job.tasks().filter(t -> t.phase == TaskPhase.WAITING).forEach(t -> t.phase = TaskPhase.DROPPED);
+    List<Task> bound = job.tasks().filter(t -> t.phase.bound()).toList();
+    bound.forEach(t -> OrderRules.stopOnceStored(plan, t));
+    settleIfEnded(plan, job);
+    plan.note("job-ended", "job", job.id, "phase", phase.name());
+  }
+
+  static void catalogChanged(Plan plan, Catalog catalog) {
+    plan.catalog = catalog;
+    plan.openByService.keySet().forEach(plan.dirtyServices::add);
+    for (Job job : new ArrayList<>(plan.jobs.values())) {
+      Queue queue = plan.queue(job);
+      if (queue != null && !queue.service().equals(job.service) && !job.phase.ended()) {
+        plan.close(job);
+        job.service = queue.service();
+        plan.open(job);
+      }
+    }
+  }
+
+  /** Forgets jobs that ended long ago and wakes the queues for what is due by time. */
+  static void sweep(Plan plan, Now now) {
+    CallRules.refuseUnsent(plan, now);
+    if (now.steadyMs() < plan.nextSweepMs) {
+      return;
+    }
+    plan.nextSweepMs = now.steadyMs() + SWEEP_MS;
+    plan.openByService.keySet().forEach(plan.dirtyServices::add);
+  }
+}
--- /dev/null
+++ b/core/src/main/java/dev/toucanstall/core/plan/OrderRules.java
@@ -0,0 +1,188 @@
+package dev.toucanstall.core.plan;
+
+import dev.toucanstall.core.job.TaskKey;
+import dev.toucanstall.core.job.TaskPhase;
+import java.util.Optional;
+
+/** Decides on the answers to starts and stops. */
+final class OrderRules {
+
+  /** How often a start without an answer is sent before it is stopped instead. */
+  private static final int MAX_SENDS = 3;
+
+  /** Pause of starts after a backend server had no room, in milliseconds. */
+  private static final long ROOM_PAUSE_MS = 150;
+
+  /** Pause of starts after a backend server took no orders, in milliseconds. */
+  private static final long UNHEALTHY_PAUSE_MS = 1_000;
+
+  private OrderRules() {}
+
+  /** Sends a start once the intent is stored, if it is still wanted then. */
+  static void startOnceStored(Plan plan, Task task) {
+    long run = task.run;
+    Server server = task.server;
+    plan.ledger.afterStore(
+        (now, out) -> {
+          if (task.phase != TaskPhase.ORDERED || task.run != run || task.server != server) {
+            return;
+          }
+          long sinceConfirmed = now.steadyMs() - plan.confirmedMs();
+          if (server != null
+              && server.takesTasks(now.steadyMs())
+              && sinceConfirmed <= PlanReducer.START_PERMISSION_MS) {
+            sendStart(plan, server, task, now);
+          } else {
+            plan.release(task);
+          }
+        });
+  }
+
+  private static void sendStart(Plan plan, Server server, Task task, Now now) {
+    task.sends++;
+    task.orderedMs = now.steadyMs();
+    plan.emit(
+        new PlanEffect.Start(
+            server.entry,
+            plan.epoch,
+            task.key,
+            task.run,
+            task.job.spec.text(),
+            task.saved,
+            server.lease(PlanReducer.START_MS, now.steadyMs())));
+  }
+
+  /** Stops a run once the cause is stored. */
+  static void stopOnceStored(Plan plan, Task task) {
+    if (task.phase == TaskPhase.ORDERED && task.sends == 0 && !task.unanswered) {
+      plan.release(task);
+      return;
+    }
+    task.phase = TaskPhase.STOPPING;
+    task.settledMs = 0;
+    plan.ledger.changed(task.job);
+    long run = task.run;
+    plan.ledger.afterStore(
+        (now, out) -> {
+          if (task.phase == TaskPhase.STOPPING && task.run == run) {
+            sendStop(plan, task);
+          }
+        });
+  }
+
+  static void sendStop(Plan plan, Task task) {
+    Server server = task.server;
+    if (server != null) {
+      plan.emit(new PlanEffect.Stop(server.entry, plan.epoch, task.key, task.run));
+    }
+  }
+
+  private static Optional<Task> bound(Server server, TaskKey key, long run) {
+    return server.tasks.stream().filter(t -> t.key.equals(key) && t.run == run).findFirst();
+  }
+
+  static void started(Plan plan, PlanEvent.Started started, Now now) {
+    Server server = plan.servers.get(started.server());
+    if (server == null || server.entry.bornMs() != started.bornMs()) {
+      return;
+    }
+    Optional<Task> task = bound(server, started.task(), started.run());
+    switch (started.result()) {
+      case OrderResult.Obeyed obeyed -> {
+        server.readClock(obeyed.clockMs(), now.steadyMs());
+        task.ifPresent(t -> confirmed(t, now));
+      }
+      case OrderResult.Rejected rejected -> rejected(plan, server, task, rejected, now);
+      case OrderResult.OtherLife otherLife ->
+          ServerRules.died(plan, server, "another life answers");
+      case OrderResult.ConnectionRefused refused -> {
+        task.ifPresent(t -> notStarted(plan, t));
+        ServerRules.connectionRefused(plan, server);
+      }
+      case OrderResult.Unanswered unanswered ->
+          task.ifPresent(t -> unanswered(plan, server, t, now));
+    }
+  }
+
+  private static void confirmed(Task task, Now now) {
+    task.unanswered = false;
+    task.settledMs = task.phase == TaskPhase.STOPPING ? task.settledMs : now.steadyMs();
+    if (task.phase == TaskPhase.ORDERED) {
+      task.phase = TaskPhase.RUNNING;
+      task.orderedMs = now.steadyMs();
+      task.job.begun();
+    }
+  }
+
+  private static void rejected(
+      Plan plan, Server server, Optional<Task> task, OrderResult.Rejected rejected, Now now) {
+    plan.note(
+        "start-rejected",
+        "server",
+        server.entry.id(),
+        "task",
+        task.map(t -> t.key.toString()).orElse(""),
+        "reason",
+        rejected.reason().name());
+    if (rejected.clockMs() > 0) {
+      server.readClock(rejected.clockMs(), now.steadyMs());
+    }
+    switch (rejected.reason()) {
+      case FENCED -> {
+        plan.emit(new PlanEffect.Resign("a backend server has seen a higher fencing token"));
+        return;
+      }
+      case ROOM -> server.suspendedUntilMs = now.steadyMs() + ROOM_PAUSE_MS;
+      case UNHEALTHY -> server.suspendedUntilMs = now.steadyMs() + UNHEALTHY_PAUSE_MS;
+      default -> {}
+    }
+    task.ifPresent(t -> notStarted(plan, t));
+  }
+
+  /** A start had no effect; earlier sends of the same start may yet have one. */
+  private static void notStarted(Plan plan, Task task) {
+    if (task.phase != TaskPhase.ORDERED) {
+      return;
+    }
+    if (task.unanswered) {
+      stopOnceStored(plan, task);
+    } else {
+      plan.release(task);
+    }
+  }
+
+  private static void unanswered(Plan plan, Server server, Task task, Now now) {
+    task.unanswered = true;
+    if (task.phase != TaskPhase.ORDERED) {
+      return;
+    }
+    boolean permitted = now.steadyMs() - plan.confirmedMs() <= PlanReducer.START_PERMISSION_MS;
+    if (task.sends < MAX_SENDS && permitted) {
+      sendStart(plan, server, task, now);
+    } else {
+      stopOnceStored(plan, task);
+    }
+  }
+
+  static void stopped(Plan plan, PlanEvent.Stopped stopped, Now now) {
+    Server server = plan.servers.get(stopped.server());
+    if (server == null || server.entry.bornMs() != stopped.bornMs()) {
+      return;
+    }
+    Optional<Task> task =
+        bound(server, stopped.task(), stopped.run()).filter(t -> t.phase == TaskPhase.STOPPING);
+    switch (stopped.result()) {
+      case OrderResult.Obeyed obeyed -> {
+        server.readClock(obeyed.clockMs(), now.steadyMs());
+        task.ifPresent(t -> t.settledMs = now.steadyMs());
+      }
+      case OrderResult.Rejected rejected when rejected.reason() == OrderResult.Reason.FENCED ->
+          plan.emit(new PlanEffect.Resign("a backend server has seen a higher fencing token"));
+      case OrderResult.Rejected rejected -> task.ifPresent(t -> t.settledMs = now.steadyMs());
+      case OrderResult.OtherLife otherLife ->
+          ServerRules.died(plan, server, "another life answers");
+      case OrderResult.ConnectionRefused refused -> ServerRules.connectionRefused(plan, server);
+      case OrderResult.Unanswered unanswered -> task.ifPresent(t -> sendStop(plan, t));
+    }
+  }
+}
--- /dev/null
+++ b/core/src/main/java/dev/toucanstall/core/plan/Placement.java
@@ -0,0 +1,205 @@
+package dev.toucanstall.core.plan;
+
+import dev.toucanstall.core.job.JobPhase;
+import dev.toucanstall.core.job.Queue;
+import dev.toucanstall.core.job.Resources;
+import dev.toucanstall.core.job.StepSpec;
+import dev.toucanstall.core.job.TaskPhase;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+
+/** Decides which waiting task starts next, and where. */
+final class Placement {
+
+  /** Tasks in a row without room after which a service counts as full. */
+  private static final int FULL_AFTER = 12;
+
+  private Placement() {}
+
+  static void place(Plan plan, Now now) {
+    if (plan.dirtyServices.isEmpty()) {
+      return;
+    }
+    if (now.steadyMs() - plan.confirmedMs() > PlanReducer.START_PERMISSION_MS) {
+      return;
+    }
+    List<String> services = List.copyOf(plan.dirtyServices);
+    plan.dirtyServices.clear();
+    services.forEach(service -> place(plan, service, now));
+  }
+
+  private static void place(Plan plan, String service, Now now) {
+    Set<Job> open = plan.openByService.get(service);
+    if (open == null || open.isEmpty()) {
+      return;
+    }
+    List<Server> servers =
+        plan.servers.values().stream()
+            .filter(s -> s.entry.service().equals(service) && s.takesTasks(now.steadyMs()))
+            .toList();
+    if (servers.isEmpty()) {
+      return;
+    }
+    Round round = new Round(plan, servers, now);
+    List<Job> ordered =
+        open.stream().filter(j -> !j.phase.ended()).sorted(order(plan, now)).toList();
+    for (Job job : ordered) {
+      if (round.misses >= FULL_AFTER) {
+        return;
+      }
+      round.place(job);
+    }
+  }
+
+  /** Lasting work first, then what can still meet its objective, by objective. */
+  private static Comparator<Job> order(Plan plan, Now now) {
+    return Comparator.comparingInt((Job j) -> priority(plan, j))
+        .thenComparing(j -> !j.spec.lasting())
+        .thenComparing(j -> late(plan, j, now))
+        .thenComparingLong(j -> j.objectiveMs);
+  }
+
+  private static int priority(Plan plan, Job job) {
+    Queue queue = plan.queue(job);
+    return queue == null ? Integer.MAX_VALUE : queue.priority();
+  }
+
+  private static boolean late(Plan plan, Job job, Now now) {
+    long ahead = job.phase == JobPhase.PENDING ? JobRules.chainMs(plan, job) : 0;
+    return now.wallMs() + ahead > job.objectiveMs;
+  }
+
+  /** One pass over the queue of a service. */
+  private static final class Round {
+
+    final Plan plan;
+    final List<Server> servers;
+    final Now now;
+    int misses;
+
+    Round(Plan plan, List<Server> servers, Now now) {
+      this.plan = plan;
+      this.servers = servers;
+      this.now = now;
+    }
+
+    void place(Job job) {
+      if (plan.queue(job) == null) {
+        return;
+      }
+      for (int k = 0; k < job.occurrences.size(); k++) {
+        List<List<Task>> steps = job.occurrences.get(k);
+        for (int s = 0; s < steps.size(); s++) {
+          List<Task> waiting =
+              steps.get(s).stream().filter(t -> t.phase == TaskPhase.WAITING).toList();
+          if (!waiting.isEmpty() && job.open(k, s, now.wallMs())) {
+            place(job, steps.get(s), waiting);
+          }
+        }
+      }
+    }
+
+    private void place(Job job, List<Task> step, List<Task> waiting) {
+      if (waiting.getFirst().step.gang()) {
+        gang(step, waiting);
+        return;
+      }
+      for (Task task : waiting) {
+        if (!withinQuota(job, task.step.need())) {
+          return;
+        }
+        Optional<Server> server = choose(step, task);
+        if (server.isEmpty()) {
+          misses++;
+          return;
+        }
+        order(task, server.get());
+      }
+    }
+
+    private boolean withinQuota(Job job, Resources need) {
+      return plan.quotas.used(job.account).plus(need).keeps(plan.quota(job.account));
+    }
+
+    /** Starts a gang only if all of it is unbound and fits. */
+    private void gang(List<Task> step, List<Task> waiting) {
+      if (waiting.size() < step.size()) {
+        return;
+      }
+      long run = step.stream().mapToLong(t -> t.run).max().orElse(0);
+      List<Task> ordered = new ArrayList<>();
+      for (Task task : step) {
+        task.run = run;
+        Optional<Server> server =
+            withinQuota(task.job, task.step.need()) ? choose(step, task) : Optional.empty();
+        if (server.isEmpty()) {
+          misses++;
+          ordered.forEach(Task::unbind);
+          ordered.forEach(t -> t.phase = TaskPhase.WAITING);
+          return;
+        }
+        bind(task, server.get());
+        ordered.add(task);
+      }
+      ordered.forEach(t -> OrderRules.startOnceStored(plan, t));
+    }
+
+    private void order(Task task, Server server) {
+      bind(task, server);
+      OrderRules.startOnceStored(plan, task);
+    }
+
+    private void bind(Task task, Server server) {
+      task.run++;
+      task.phase = TaskPhase.ORDERED;
+      task.settledMs = 0;
+      task.orderedMs = now.steadyMs();
+      task.bind(server);
+      task.job.begun();
+      plan.ledger.changed(task.job);
+    }
+
+    private Optional<Server> choose(List<Task> step, Task task) {
+      return servers.stream()
+          .filter(s -> task.step.reserved().fitsInto(s.free()))
+          .filter(s -> allowed(step, task, s))
+          .max(Comparator.comparingLong(s -> score(step, task, s)));
+    }
+
+    private boolean allowed(List<Task> step, Task task, Server server) {
+      StepSpec spec = task.step;
+      if (!spec.label().isEmpty() && !server.entry.labels().contains(spec.label())) {
+        return false;
+      }
+      if (spec.perServer() == 0) {
+        return true;
+      }
+      return step.stream().filter(t -> t.server == server).count() < spec.perServer();
+    }
+
+    /** Prefers backend servers that it has not failed on, near its data, with much room. */
+    private long score(List<Task> step, Task task, Server server) {
+      long score = server.free().cpu();
+      if (task.avoid.contains(server.entry.id())) {
+        score -= 1_000_000_000L;
+      }
+      if (!task.step.rack().isEmpty() && server.entry.labels().contains(task.step.rack())) {
+        score += 1_000_000L;
+      }
+      if (task.step.sameRack() && sharesRack(step, server)) {
+        score += 1_000_000L;
+      }
+      return score;
+    }
+
+    private boolean sharesRack(List<Task> step, Server server) {
+      return step.stream()
+          .map(t -> t.server)
+          .filter(s -> s != null)
+          .anyMatch(s -> s.entry.labels().equals(server.entry.labels()));
+    }
+  }
+}
--- /dev/null
+++ b/core/src/main/java/dev/toucanstall/core/plan/Plan.java
@@ -0,0 +1,152 @@
+package dev.toucanstall.core.plan;
+
+import dev.toucanstall.core.job.Account;
+import dev.toucanstall.core.job.Catalog;
+import dev.toucanstall.core.job.JobRecord;
+import dev.toucanstall.core.job.Queue;
+import dev.toucanstall.core.job.Resources;
+import dev.toucanstall.core.job.TaskPhase;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.function.Consumer;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * The state of a planner during one term of office. Owned by the control thread and changed in
+ * place; only {@link PlanReducer} changes it.
+ */
+public final class Plan {
+
+  final long epoch;
+  final Ledger ledger;
+  final Quotas quotas = new Quotas();
+  final Map<String, Job> jobs = new LinkedHashMap<>();
+  final Map<String, Server> servers = new LinkedHashMap<>();
+  final Map<String, Set<Job>> openByService = new HashMap<>();
+  final Durations durations = new Durations();
+
+  /** Services whose queue must be looked at. */
+  final Set<String> dirtyServices = new LinkedHashSet<>();
+
+  Catalog catalog;
+  boolean listComplete;
+  long nextSweepMs;
+
+  /** When the backend servers were last given time to answer a new planner. */
+  final long tookOverMs;
+
+  private List<PlanEffect> out = new ArrayList<>();
+
+  /**
+   * Creates a plan from what is stored.
+   *
+   * @param epoch the fencing token of this term
+   * @param firstSequence the number of the first append
+   * @param catalog the configuration
+   * @param records the newest record of each key, submissions before progress
+   * @param now the time
+   */
+  public Plan(long epoch, long firstSequence, Catalog catalog, List<JobRecord> records, Now now) {
+    this.epoch = epoch;
+    this.catalog = catalog;
+    this.ledger = new Ledger(epoch, firstSequence, now.steadyMs());
+    this.tookOverMs = now.steadyMs();
+    Recovery.restore(this, records, now);
+  }
+
+  /**
+   * Returns the fencing token.
+   *
+   * @return the number
+   */
+  public long epoch() {
+    return epoch;
+  }
+
+  /**
+   * Returns when the store last confirmed the fencing token.
+   *
+   * @return steady milliseconds of the question
+   */
+  public long confirmedMs() {
+    return ledger.confirmedMs();
+  }
+
+  /** Starts and renews nothing until the store has confirmed the fencing token again. */
+  public void doubtTerm() {
+    ledger.doubtTerm();
+  }
+
+  /**
+   * Returns how many jobs have not ended.
+   *
+   * @return the number
+   */
+  public int openJobs() {
+    return openByService.values().stream().mapToInt(Set::size).sum();
+  }
+
+  List<PlanEffect> takeEffects() {
+    List<PlanEffect> taken = out;
+    out = new ArrayList<>();
+    return taken;
+  }
+
+  void emit(PlanEffect effect) {
+    out.add(effect);
+  }
+
+  Consumer<PlanEffect> emitter() {
+    return this::emit;
+  }
+
+  void note(String event, String... fields) {
+    Map<String, String> named = new LinkedHashMap<>();
+    for (int i = 0; i + 1 < fields.length; i += 2) {
+      named.put(fields[i], fields[i + 1]);
+    }
+    emit(new PlanEffect.Note(event, named));
+  }
+
+  @Nullable Queue queue(Job job) {
+    return catalog.named().get(job.queue);
+  }
+
+  Resources quota(String account) {
+    Account known = catalog.accounts().get(account);
+    return known == null ? Resources.NONE : known.quota();
+  }
+
+  void open(Job job) {
+    openByService.computeIfAbsent(job.service, s -> new LinkedHashSet<>()).add(job);
+    dirtyServices.add(job.service);
+  }
+
+  void close(Job job) {
+    Set<Job> open = openByService.get(job.service);
+    if (open != null) {
+      open.remove(job);
+    }
+  }
+
+  void wake(Server server) {
+    dirtyServices.add(server.entry.service());
+  }
+
+  /** Lets a task that is not bound any more wait for its next run, or end with its job. */
+  void release(Task task) {
+    Server from = task.server;
+    if (from != null) {
+      wake(from);
+    }
+    task.unbind();
+    task.phase = task.job.phase.ended() ? TaskPhase.DROPPED : TaskPhase.WAITING;
+    ledger.changed(task.job);
+    dirtyServices.add(task.job.service);
+  }
+}
--- /dev/null
+++ b/core/src/main/java/dev/toucanstall/core/plan/PlanEffect.java
@@ -0,0 +1,99 @@
+package dev.toucanstall.core.plan;
+
+import dev.toucanstall.core.job.JobAnswer;
+import dev.toucanstall.core.job.JobRecord;
+import dev.toucanstall.core.job.ServerEntry;
+import dev.toucanstall.core.job.TaskKey;
+import java.util.List;
+import java.util.Map;
+
+/** What the planner wants done. */
+public sealed interface PlanEffect {
+
+  /**
+   * Answer a call.
+   *
+   * @param ticket the call
+   * @param answer the answer
+   */
+  record Answer(long ticket, JobAnswer answer) implements PlanEffect {}
+
+  /**
+   * Append records to the store, or only confirm the fencing token if there are none.
+   *
+   * @param epoch the fencing token
+   * @param sequence the append's number; the same number is never two appends
+   * @param records the records
+   */
+  record Append(long epoch, long sequence, List<JobRecord> records) implements PlanEffect {}
+
+  /**
+   * Renew the lease of a backend server, have ends forgotten, and read its lists.
+   *
+   * @param server the backend server
+   * @param fence the fencing token
+   * @param acknowledged ends up to here are stored
+   * @param leaseUntilMs the lease's end on the backend server's clock
+   * @param waitMs how long it may wait for an end
+   */
+  record Hold(ServerEntry server, long fence, long acknowledged, long leaseUntilMs, long waitMs)
+      implements PlanEffect {}
+
+  /**
+   * Start a run.
+   *
+   * @param server the backend server
+   * @param fence the fencing token
+   * @param task the task
+   * @param run the run
+   * @param text the job's text
+   * @param saved the checkpoint to go on from, empty for none
+   * @param untilMs latest time of the start, and lease, on the backend server's clock
+   */
+  record Start(
+      ServerEntry server,
+      long fence,
+      TaskKey task,
+      long run,
+      String text,
+      String saved,
+      long untilMs)
+      implements PlanEffect {}
+
+  /**
+   * Stop a run, or see to it that it never starts.
+   *
+   * @param server the backend server
+   * @param fence the fencing token
+   * @param task the task
+   * @param run the run
+   */
+  record Stop(ServerEntry server, long fence, TaskKey task, long run) implements PlanEffect {}
+
+  /**
+   * Let a run work at a part of its rate.
+   *
+   * @param server the backend server
+   * @param fence the fencing token
+   * @param task the task
+   * @param run the run
+   * @param percent the part, 0 to 100
+   */
+  record Pace(ServerEntry server, long fence, TaskKey task, long run, int percent)
+      implements PlanEffect {}
+
+  /**
+   * Stop planning: another planner has taken over.
+   *
+   * @param why how it became known
+   */
+  record Resign(String why) implements PlanEffect {}
+
+  /**
+   * Write a log line.
+   *
+   * @param event the stable name of what was decided
+   * @param fields what decided it
+   */
+  record Note(String event, Map<String, String> fields) implements PlanEffect {}
+}
--- /dev/null
+++ b/core/src/main/java/dev/toucanstall/core/plan/PlanEvent.java
@@ -0,0 +1,91 @@
+package dev.toucanstall.core.plan;
+
+import dev.toucanstall.core.job.Catalog;
+import dev.toucanstall.core.job.JobCall;
+import dev.toucanstall.core.job.ServerEntry;
+import dev.toucanstall.core.job.TaskKey;
+import java.util.List;
+
+/** What the planner is told. */
+public sealed interface PlanEvent {
+
+  /** Time has passed. */
+  record Tick() implements PlanEvent {}
+
+  /**
+   * A call arrived.
+   *
+   * @param ticket names the call in its answer
+   * @param call the call
+   */
+  record Called(long ticket, JobCall call) implements PlanEvent {}
+
+  /**
+   * The configuration has changed.
+   *
+   * @param catalog the new version
+   */
+  record CatalogChanged(Catalog catalog) implements PlanEvent {}
+
+  /**
+   * An append was answered or given up.
+   *
+   * @param sequence its number
+   * @param sentMs when it was sent, steady milliseconds
+   * @param verdict whether it took effect
+   */
+  record Appended(long sequence, long sentMs, Verdict verdict) implements PlanEvent {}
+
+  /**
+   * Entries of backend servers have changed.
+   *
+   * @param present new or changed entries
+   * @param gone ids whose entries were removed
+   * @param complete whether every entry that is not named is gone too
+   */
+  record ServersRead(List<ServerEntry> present, List<String> gone, boolean complete)
+      implements PlanEvent {
+
+    /** Copies the lists. */
+    public ServersRead {
+      present = List.copyOf(present);
+      gone = List.copyOf(gone);
+    }
+  }
+
+  /**
+   * A call that renews a lease has ended.
+   *
+   * @param server the backend server
+   * @param bornMs its life
+   * @param acknowledged the highest end that it was told to forget
+   * @param sentMs when it was sent, steady milliseconds
+   * @param result what became of it
+   */
+  record Held(String server, long bornMs, long acknowledged, long sentMs, HoldResult result)
+      implements PlanEvent {}
+
+  /**
+   * A start has ended.
+   *
+   * @param server the backend server
+   * @param bornMs its life
+   * @param task the task
+   * @param run the run
+   * @param result what became of it
+   */
+  record Started(String server, long bornMs, TaskKey task, long run, OrderResult result)
+      implements PlanEvent {}
+
+  /**
+   * A stop has ended.
+   *
+   * @param server the backend server
+   * @param bornMs its life
+   * @param task the task
+   * @param run the run
+   * @param result what became of it
+   */
+  record Stopped(String server, long bornMs, TaskKey task, long run, OrderResult result)
+      implements PlanEvent {}
+}
--- /dev/null
+++ b/core/src/main/java/dev/toucanstall/core/plan/PlanReducer.java
@@ -0,0 +1,49 @@
+package dev.toucanstall.core.plan;
+
+import java.util.List;
+
+/**
+ * The planner's one reducer over all its events. It does no I/O and reads no clock; the state is
+ * owned by the calling thread.
+ */
+public final class PlanReducer {
+
+  /** Length of a lease in milliseconds on the backend server's clock. */
+  static final long LEASE_MS = 7_000;
+
+  /** Latest time for a start to be carried out, in milliseconds on the backend server's clock. */
+  static final long START_MS = 2_500;
+
+  /** A planner that the store has not confirmed for this long starts nothing, in milliseconds. */
+  static final long START_PERMISSION_MS = 2_500;
+
+  /** A planner that the store has not confirmed for this long renews no lease, in milliseconds. */
+  static final long HOLD_PERMISSION_MS = 8_000;
+
+  private PlanReducer() {}
+
+  /**
+   * Decides on an event.
+   *
+   * @param plan the state, changed in place
+   * @param event the event
+   * @param now the time
+   * @return what is to be carried out, in order
+   */
+  public static List<PlanEffect> reduce(Plan plan, PlanEvent event, Now now) {
+    switch (event) {
+      case PlanEvent.Tick tick -> JobRules.sweep(plan, now);
+      case PlanEvent.Called called -> CallRules.decide(plan, called, now);
+      case PlanEvent.CatalogChanged changed -> JobRules.catalogChanged(plan, changed.catalog());
+      case PlanEvent.Appended appended -> plan.ledger.appended(appended, now, plan.emitter());
+      case PlanEvent.ServersRead read -> ServerRules.read(plan, read, now);
+      case PlanEvent.Held held -> HoldRules.held(plan, held, now);
+      case PlanEvent.Started started -> OrderRules.started(plan, started, now);
+      case PlanEvent.Stopped stopped -> OrderRules.stopped(plan, stopped, now);
+    }
+    Placement.place(plan, now);
+    ServerRules.renewLeases(plan, now);
+    plan.ledger.flush(now, plan.emitter());
+    return plan.takeEffects();
+  }
+}
--- /dev/null
+++ b/core/src/main/java/dev/toucanstall/core/plan/Recovery.java
@@ -0,0 +1,81 @@
+package dev.toucanstall.core.plan;
+
+import dev.toucanstall.core.job.JobRecord;
+import dev.toucanstall.core.job.JobRecord.TaskProgress;
+import dev.toucanstall.core.job.Resources;
+import dev.toucanstall.core.job.ServerEntry;
+import dev.toucanstall.core.job.TaskKey;
+import dev.toucanstall.core.model.Address;
+import java.util.List;
+import java.util.Set;
+
+/** Builds a planner's state from the records of its predecessors. */
+final class Recovery {
+
+  /**
+   * How long a predecessor that is cut off from the store may go on renewing leases, and the
+   * longest lease, in milliseconds on a backend server's clock.
+   */
+  static final long PREDECESSOR_MS = PlanReducer.HOLD_PERMISSION_MS + PlanReducer.LEASE_MS;
+
+  /** Slowest rate of a backend server's clock against ours. */
+  private static final double SLOWEST_CLOCK = 0.98;
+
+  private static final Address NOWHERE = new Address("0.0.0.0", 1);
+
+  private Recovery() {}
+
+  static void restore(Plan plan, List<JobRecord> records, Now now) {
+    for (JobRecord record : records) {
+      if (record instanceof JobRecord.Submitted submitted) {
+        JobRules.add(plan, new Job(plan, submitted));
+      }
+    }
+    for (JobRecord record : records) {
+      if (record instanceof JobRecord.Progress progress) {
+        restore(plan, progress, now);
+      }
+    }
+  }
+
+  private static void restore(Plan plan, JobRecord.Progress progress, Now now) {
+    Job job = plan.jobs.get(progress.job());
+    if (job == null) {
+      plan.note("progress-without-job", "job", progress.job());
+      return;
+    }
+    job.phase = progress.phase();
+    job.endedMs = progress.endedMs();
+    for (TaskProgress line : progress.tasks()) {
+      TaskKey key = new TaskKey(job.id, line.occurrence(), line.step(), line.index());
+      job.find(key).forEach(task -> restore(plan, task, line, now));
+    }
+    if (job.phase.ended() && job.bound == 0) {
+      plan.close(job);
+    }
+  }
+
+  private static void restore(Plan plan, Task task, TaskProgress line, Now now) {
+    task.run = line.run();
+    task.failures = line.failures();
+    task.saved = line.saved();
+    task.phase = line.phase();
+    if (!task.phase.bound()) {
+      return;
+    }
+    task.unanswered = true;
+    task.orderedMs = now.steadyMs();
+    task.bind(plan.servers.computeIfAbsent(line.server(), id -> unseen(id, line, task, now)));
+  }
+
+  /** A backend server that is known only from a record until it lists itself. */
+  private static Server unseen(String id, TaskProgress line, Task task, Now now) {
+    ServerEntry entry =
+        new ServerEntry(
+            id, line.bornMs(), task.job.service, NOWHERE, "", false, Resources.NONE, Set.of(), 0);
+    Server server = new Server(entry, now.steadyMs());
+    server.unlisted = true;
+    server.leasesOutMs = now.steadyMs() + (long) (PREDECESSOR_MS / SLOWEST_CLOCK);
+    return server;
+  }
+}
--- /dev/null
+++ b/core/src/main/java/dev/toucanstall/core/plan/Server.java
@@ -0,0 +1,101 @@
+package dev.toucanstall.core.plan;
+
+import dev.toucanstall.core.job.Resources;
+import dev.toucanstall.core.job.ServerEntry;
+import java.util.LinkedHashSet;
+import java.util.Set;
+
+/** One life of a backend server, as the planner sees it. Owned by the control thread. */
+final class Server {
+
+  /** Slowest rate of a backend server's clock against ours. */
+  private static final double SLOWEST_CLOCK = 0.98;
+
+  ServerEntry entry;
+
+  /** Whether it has answered a call with our fencing token. */
+  boolean known;
+
+  /** Whether it no longer lists itself. */
+  boolean unlisted;
+
+  /** Whether a call that renews its lease is under way. */
+  boolean holding;
+
+  /** When the last such call was sent. */
+  long holdSentMs;
+
+  /** Earliest time of the next such call. */
+  long holdAfterMs;
+
+  /** When its calls began to fail, 0 if they do not. */
+  long silentSinceMs;
+
+  /** How often in a row it refused a connection. */
+  int connectionsRefused;
+
+  /** Its clock when we last read it, and when that was. */
+  long clockMs;
+
+  long clockReadMs;
+
+  /** When all leases ever given have surely run out on its clock, steady milliseconds. */
+  long leasesOutMs;
+
+  /** The highest end that is stored, and the highest that it was told of. */
+  long storedEnds;
+
+  long acknowledgedEnds;
+
+  /** The highest end that has been applied. */
+  long appliedEnds;
+
+  /** Until when it gets no new tasks. */
+  long suspendedUntilMs;
+
+  /** Failures in a row. */
+  int failures;
+
+  Resources used = Resources.NONE;
+  final Set<Task> tasks = new LinkedHashSet<>();
+
+  Server(ServerEntry entry, long nowMs) {
+    this.entry = entry;
+    this.clockMs = entry.clockMs();
+    this.clockReadMs = nowMs;
+  }
+
+  void bind(Task task) {
+    tasks.add(task);
+    used = used.plus(task.step.reserved());
+  }
+
+  void unbind(Task task) {
+    tasks.remove(task);
+    used = used.minus(task.step.reserved());
+  }
+
+  Resources free() {
+    return entry.capacity().minus(used);
+  }
+
+  void readClock(long clock, long nowMs) {
+    clockMs = clock;
+    clockReadMs = nowMs;
+  }
+
+  /** Returns a time on its clock, and remembers when it has surely passed. */
+  long lease(long lengthMs, long nowMs) {
+    long ahead = nowMs - clockReadMs + lengthMs;
+    leasesOutMs = Math.max(leasesOutMs, clockReadMs + (long) (ahead / SLOWEST_CLOCK) + 1);
+    return clockMs + ahead;
+  }
+
+  boolean takesTasks(long nowMs) {
+    return known
+        && !unlisted
+        && !entry.draining()
+        && silentSinceMs == 0
+        && nowMs >= suspendedUntilMs;
+  }
+}
--- /dev/null
+++ b/core/src/main/java/dev/toucanstall/core/plan/ServerRules.java
@@ -0,0 +1,145 @@
+package dev.toucanstall.core.plan;
+
+import dev.toucanstall.core.job.ServerEntry;
+import dev.toucanstall.core.job.TaskPhase;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Set;
+import java.util.stream.Collectors;
+
+/** Decides on the lives of backend servers and the renewal of their leases. */
+final class ServerRules {
+
+  /** How long a call may wait at a backend server for an end, in milliseconds. */
+  static final long WAIT_MS = 2_000;
+
+  /** Refused connections in a row after which nothing runs at an address any more. */
+  static final int REFUSALS_OF_A_DEAD_PROCESS = 2;
+
+  private ServerRules() {}
+
+  static void read(Plan plan, PlanEvent.ServersRead read, Now now) {
+    read.present().forEach(entry -> present(plan, entry, now));
+    read.gone().forEach(id -> unlist(plan, id));
+    if (read.complete()) {
+      Set<String> ids = read.present().stream().map(ServerEntry::id).collect(Collectors.toSet());
+      plan.servers.keySet().stream()
+          .filter(id -> !ids.contains(id))
+          .toList()
+          .forEach(id -> unlist(plan, id));
+      plan.listComplete = true;
+    }
+  }
+
+  private static void present(Plan plan, ServerEntry entry, Now now) {
+    Server known = plan.servers.get(entry.id());
+    if (known != null && known.entry.bornMs() != entry.bornMs()) {
+      if (known.entry.bornMs() > entry.bornMs()) {
+        return;
+      }
+      died(plan, known, "a later life lists itself");
+      known = null;
+    }
+    if (known == null) {
+      Server fresh = new Server(entry, now.steadyMs());
+      plan.servers.put(entry.id(), fresh);
+      noteServer(plan, "server-listed", fresh, entry.draining() ? "draining" : "ready");
+      return;
+    }
+    if (known.unlisted && known.clockMs == 0) {
+      known.readClock(entry.clockMs(), now.steadyMs());
+    }
+    boolean drains = entry.draining() && !known.entry.draining();
+    if (drains || known.unlisted || !known.entry.service().equals(entry.service())) {
+      noteServer(plan, "server-changed", known, entry.draining() ? "draining" : "ready");
+      plan.dirtyServices.add(entry.service());
+    }
+    known.entry = entry;
+    known.unlisted = false;
+  }
+
+  private static void unlist(Plan plan, String id) {
+    Server server = plan.servers.get(id);
+    if (server == null || server.unlisted) {
+      return;
+    }
+    server.unlisted = true;
+    noteServer(plan, "server-unlisted", server, "tasks " + server.tasks.size());
+    if (server.tasks.isEmpty()) {
+      plan.servers.remove(id);
+    }
+  }
+
+  /** All that ran in this life of the backend server has ended. */
+  static void died(Plan plan, Server server, String why) {
+    noteServer(plan, "server-ended", server, why);
+    plan.servers.remove(server.entry.id());
+    new ArrayList<>(server.tasks).forEach(plan::release);
+  }
+
+  static void noteServer(Plan plan, String event, Server server, String why) {
+    plan.note(
+        event,
+        "server",
+        server.entry.id(),
+        "service",
+        server.entry.service(),
+        "born",
+        Long.toString(server.entry.bornMs()),
+        "why",
+        why);
+  }
+
+  static void connectionRefused(Plan plan, Server server) {
+    server.connectionsRefused++;
+    if (server.connectionsRefused >= REFUSALS_OF_A_DEAD_PROCESS) {
+      died(plan, server, "nothing listens at " + server.entry.address());
+    }
+  }
+
+  /** Renews the lease of each backend server that needs it, and reads its lists. */
+  static void renewLeases(Plan plan, Now now) {
+    long sinceConfirmed = now.steadyMs() - plan.confirmedMs();
+    if (sinceConfirmed > PlanReducer.HOLD_PERMISSION_MS) {
+      return;
+    }
+    for (Server server : List.copyOf(plan.servers.values())) {
+      if (server.silentSinceMs > 0 && now.steadyMs() >= server.leasesOutMs) {
+        leasesOut(plan, server);
+      }
+      if (wantsHold(server, now)) {
+        hold(plan, server, now);
+      }
+    }
+  }
+
+  private static void leasesOut(Plan plan, Server server) {
+    if (!server.tasks.isEmpty()) {
+      noteServer(plan, "leases-out", server, "tasks " + server.tasks.size());
+      new ArrayList<>(server.tasks).forEach(plan::release);
+    }
+    server.known = false;
+    if (server.unlisted) {
+      plan.servers.remove(server.entry.id());
+    }
+  }
+
+  private static boolean wantsHold(Server server, Now now) {
+    if (server.holding || now.steadyMs() < server.holdAfterMs) {
+      return false;
+    }
+    if (server.appliedEnds > server.storedEnds || server.entry.capacity().cpu() == 0) {
+      return false;
+    }
+    return !server.known || !server.tasks.isEmpty() || server.storedEnds > server.acknowledgedEnds;
+  }
+
+  private static void hold(Plan plan, Server server, Now now) {
+    boolean runs = server.tasks.stream().anyMatch(t -> t.phase != TaskPhase.ORDERED || t.sends > 0);
+    long lease = server.tasks.isEmpty() ? 0 : server.lease(PlanReducer.LEASE_MS, now.steadyMs());
+    long wait = server.known && runs && server.silentSinceMs == 0 ? WAIT_MS : 0;
+    server.holding = true;
+    server.holdSentMs = now.steadyMs();
+    plan.emit(new PlanEffect.Hold(server.entry, plan.epoch, server.storedEnds, lease, wait));
+  }
+}
--- /dev/null
+++ b/core/src/main/java/dev/toucanstall/core/plan/Task.java
@@ -0,0 +1,89 @@
+package dev.toucanstall.core.plan;
+
+import dev.toucanstall.core.job.JobRecord.TaskProgress;
+import dev.toucanstall.core.job.StepSpec;
+import dev.toucanstall.core.job.TaskKey;
+import dev.toucanstall.core.job.TaskPhase;
+import java.util.HashSet;
+import java.util.Set;
+import org.jspecify.annotations.Nullable;
+
+/** One task of a job. Owned by the control thread. */
+final class Task {
+
+  final Job job;
+  final TaskKey key;
+  final StepSpec step;
+  TaskPhase phase = TaskPhase.WAITING;
+  long run;
+  int failures;
+  String saved = "";
+  @Nullable Server server;
+
+  /** Whether a start of this run was sent and not answered, so that it may yet be carried out. */
+  boolean unanswered;
+
+  /** How often the start of this run was sent. */
+  int sends;
+
+  /** When the last order for this run was answered; a list asked for later must show the run. */
+  long settledMs;
+
+  /** When the run was ordered, steady milliseconds. */
+  long orderedMs;
+
+  /** Share of its work, in percent, at which the run was last seen to be. */
+  int percent;
+
+  /** The work rate in percent that was last ordered. */
+  int pace = 100;
+
+  /** Backend servers on which it failed or stood still. */
+  final Set<String> avoid = new HashSet<>();
+
+  Task(Job job, TaskKey key, StepSpec step) {
+    this.job = job;
+    this.key = key;
+    this.step = step;
+  }
+
+  void bind(Server to) {
+    server = to;
+    to.bind(this);
+    job.plan.quotas.add(job.account, step.need());
+    job.bound++;
+  }
+
+  void unbind() {
+    Server from = server;
+    if (from == null) {
+      return;
+    }
+    from.unbind(this);
+    job.plan.quotas.remove(job.account, step.need());
+    job.bound--;
+    server = null;
+    unanswered = false;
+    sends = 0;
+    percent = 0;
+    pace = 100;
+  }
+
+  boolean begun() {
+    return run > 0 || phase != TaskPhase.WAITING;
+  }
+
+  TaskProgress progress() {
+    Server on = server;
+    return new TaskProgress(
+        key.occurrence(),
+        key.step(),
+        key.index(),
+        phase,
+        run,
+        on == null ? "" : on.entry.id(),
+        on == null ? 0 : on.entry.bornMs(),
+        failures,
+        saved);
+  }
+}
--- a/entry/src/main/java/dev/toucanstall/entry/link/PeerLinks.java
+++ b/entry/src/main/java/dev/toucanstall/entry/link/PeerLinks.java
@@ -5,7 +5,9 @@
 import dev.toucanstall.core.model.MemberId;
 import dev.toucanstall.core.peer.PeerMessage;
 import dev.toucanstall.core.record.Member;
+import dev.toucanstall.runtime.link.FrameLink;
 import dev.toucanstall.runtime.log.LogLine;
+import dev.toucanstall.wire.Decoded;
 import dev.toucanstall.wire.peer.Handshake;
 import dev.toucanstall.wire.peer.Handshake.Identity;
 import dev.toucanstall.wire.peer.PeerCodec;
@@ -44,7 +46,7 @@
   private final RandomGenerator random = RandomGenerator.getDefault();
   private final Map<MemberId, Member> wanted = new ConcurrentHashMap<>();
   private final Map<MemberId, Thread> dialers = new ConcurrentHashMap<>();
-  private final Map<MemberId, PeerLink> links = new ConcurrentHashMap<>();
+  private final Map<MemberId, FrameLink> links = new ConcurrentHashMap<>();
   private final LongAdder bytesSent = new LongAdder();
   private final LongAdder messagesSent = new LongAdder();
   private final LongAdder dropped = new LongAdder();
@@ -100,7 +102,7 @@
    * @param message the message
    */
   public void send(MemberId to, PeerMessage message) {
-    PeerLink link = links.get(to);
+    FrameLink link = links.get(to);
     byte[] bytes = PeerCodec.encode(message);
     if (link != null && link.offer(bytes)) {
       bytesSent.add(bytes.length + Integer.BYTES);
@@ -195,20 +197,20 @@
   private boolean converse(Socket socket, boolean dialled, MemberId expected) throws IOException {
     socket.setTcpNoDelay(true);
     socket.setSoTimeout(HANDSHAKE_MILLIS);
-    PeerLink link = new PeerLink(socket);
+    FrameLink link = new FrameLink(socket);
     Identity other = handshake.run(link.in(), link.out(), own, dialled);
     if (dialled && !other.member().equals(expected)) {
       throw new IOException("peer is \"%s\", not \"%s\"".formatted(other.member(), expected));
     }
     socket.setSoTimeout(0);
-    PeerLink before = links.put(other.member(), link);
+    FrameLink before = links.put(other.member(), link);
     if (before != null) {
       before.close();
     }
     LogLine.of("peer-linked").with("peer", other.member()).info(LOG);
     events.accept(new Event.LinkChanged(System.nanoTime(), other.member(), true));
     try {
-      link.run(message -> receive(other, message));
+      link.run(frame -> receive(other, frame));
     } finally {
       if (links.remove(other.member(), link)) {
         events.accept(new Event.LinkChanged(System.nanoTime(), other.member(), false));
@@ -218,16 +220,22 @@
     return true;
   }
 
-  private void receive(Identity other, PeerMessage message) {
-    events.accept(
-        new Event.PeerReceived(System.nanoTime(), other.member(), other.incarnation(), message));
+  private void receive(Identity other, byte[] frame) throws IOException {
+    switch (PeerCodec.decode(frame)) {
+      case Decoded.Value<PeerMessage> value ->
+          events.accept(
+              new Event.PeerReceived(
+                  System.nanoTime(), other.member(), other.incarnation(), value.value()));
+      case Decoded.Malformed<PeerMessage> malformed ->
+          throw new IOException("malformed peer message: " + malformed.why());
+    }
   }
 
   @Override
   public void close() {
     closed = true;
     dialers.values().forEach(Thread::interrupt);
-    links.values().forEach(PeerLink::close);
+    links.values().forEach(FrameLink::close);
     try {
       server.close();
     } catch (IOException e) {
--- /dev/null
+++ b/entry/src/main/java/dev/toucanstall/entry/node/NodeProcess.java
@@ -0,0 +1,266 @@
+package dev.toucanstall.entry.node;
+
+import dev.toucanstall.core.job.Catalog;
+import dev.toucanstall.core.job.ServerEntry;
+import dev.toucanstall.core.node.Leader;
+import dev.toucanstall.core.node.Node;
+import dev.toucanstall.core.node.NodeEffect;
+import dev.toucanstall.core.node.NodeEvent;
+import dev.toucanstall.core.node.NodeReducer;
+import dev.toucanstall.core.plan.PlanEvent;
+import dev.toucanstall.platform.jobs.JobHandler;
+import dev.toucanstall.platform.orders.OrderClient;
+import dev.toucanstall.platform.settings.PlatformSettings;
+import dev.toucanstall.platform.store.CatalogDecoder;
+import dev.toucanstall.platform.store.Group;
+import dev.toucanstall.platform.store.JobLog;
+import dev.toucanstall.platform.store.ServerDecoder;
+import dev.toucanstall.platform.store.StoreClient;
+import dev.toucanstall.platform.store.Watch;
+import dev.toucanstall.runtime.http.Answer;
+import dev.toucanstall.runtime.http.AsyncCalls;
+import dev.toucanstall.runtime.http.HttpServers;
+import dev.toucanstall.runtime.http.Route;
+import dev.toucanstall.runtime.http.RouteHandler;
+import dev.toucanstall.runtime.log.LogLine;
+import dev.toucanstall.runtime.loop.ControlLoop;
+import dev.toucanstall.runtime.loop.Decision;
+import dev.toucanstall.wire.Decoded;
+import dev.toucanstall.wire.job.JobCodec;
+import java.io.IOException;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CountDownLatch;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+import org.eclipse.jetty.server.Server;
+import org.jspecify.annotations.Nullable;
+
+/** An entry instance on the users' platform with all its parts. */
+final class NodeProcess implements AutoCloseable, NodeRunner.Parts {
+
+  private static final Logger LOG = LogManager.getLogger(NodeProcess.class);
+
+  /** Time between two ticks of the control loop. */
+  private static final Duration TICK = Duration.ofMillis(20);
+
+  /** How long a read of the configuration waits for a change, in milliseconds. */
+  private static final long CATALOG_WAIT_MS = 1_000;
+
+  private static final long LEADER_WAIT_MS = 10_000;
+  private static final long SERVERS_WAIT_MS = 2_000;
+  private static final long SERVERS_PAUSE_MS = 200;
+  private static final int STORE_CONNECTIONS = 16;
+  private static final int ORDER_CONNECTIONS = 4;
+  private static final int UNAVAILABLE = 503;
+
+  private final PlatformSettings settings;
+  private final SteadyClock clock = new SteadyClock();
+  private final AsyncCalls storeCalls = new AsyncCalls("store", STORE_CONNECTIONS);
+  private final AsyncCalls orderCalls = new AsyncCalls("orders", ORDER_CONNECTIONS);
+  private final StoreClient store;
+  private final ControlLoop<Node, NodeEvent, NodeEffect> loop;
+  private final JobHandler handler;
+  private final PlannerServer peers;
+  private final PlannerLink planner;
+  private final Server clients;
+  private final Server readiness;
+  private final CountDownLatch exit = new CountDownLatch(1);
+  private final List<AutoCloseable> watches = new ArrayList<>();
+  private volatile @Nullable Group group;
+  private volatile boolean ready;
+  private @Nullable Watch servers;
+
+  NodeProcess(PlatformSettings settings) throws IOException {
+    this.settings = settings;
+    store = new StoreClient(storeCalls, settings.store());
+    handler = new JobHandler((ticket, call) -> post(new NodeEvent.Called(ticket, call)));
+    peers = new PlannerServer(settings.peers(), this::post);
+    planner = new PlannerLink(this::post);
+    NodeRunner runner =
+        new NodeRunner(
+            settings,
+            clock,
+            this::post,
+            handler,
+            peers,
+            planner,
+            new JobLog(store),
+            new OrderClient(orderCalls),
+            this);
+    loop =
+        new ControlLoop<>(
+            "control",
+            new Node(settings.name()),
+            (node, event) -> new Decision<>(node, NodeReducer.reduce(node, event, clock.now())),
+            runner,
+            (event, e) -> LogLine.of("decision-failed").with("event", event).error(LOG, e),
+            TICK,
+            nanos -> new NodeEvent.Tick());
+    clients = HttpServers.plain("clients", settings.clients(), handler);
+    readiness =
+        HttpServers.plain(
+            "readiness",
+            settings.readiness(),
+            new RouteHandler(
+                List.of(
+                    new Route(
+                        "GET",
+                        "/-/ready",
+                        call ->
+                            ready
+                                ? Answer.text(200, "ready\n")
+                                : Answer.text(UNAVAILABLE, "not ready\n")))));
+  }
+
+  private void post(NodeEvent event) {
+    loop.post(event);
+  }
+
+  /** Starts to serve. */
+  void start() throws IOException {
+    loop.start();
+    watches.add(
+        new Watch(
+            store, CatalogDecoder.TOPIC, CATALOG_WAIT_MS, 0, clock::steadyMs, this::readCatalog));
+    watches.add(
+        new Watch(store, JobLog.LEADERS, LEADER_WAIT_MS, 0, clock::steadyMs, this::readLeader));
+    group =
+        new Group(
+            store,
+            settings.name(),
+            settings.groupTtlMs(),
+            holder -> post(new NodeEvent.Joined(holder)));
+    try {
+      clients.start();
+      readiness.start();
+    } catch (IOException e) {
+      throw e;
+    } catch (Exception e) {
+      throw new IOException("a server did not start", e);
+    }
+    LogLine.of("started")
+        .with("instance", settings.name())
+        .with("data-centre", settings.dataCentre())
+        .info(LOG);
+  }
+
+  private void readCatalog(long askedMs, boolean whole, List<Watch.Keyed> records) {
+    Catalog newest = null;
+    for (Watch.Keyed record : records) {
+      if (record.key().equals(CatalogDecoder.KEY) && record.value().length > 0) {
+        switch (CatalogDecoder.decode(record.value())) {
+          case Decoded.Value<Catalog> value -> newest = value.value();
+          case Decoded.Malformed<Catalog> malformed ->
+              LogLine.of("configuration-malformed").with("why", malformed.why()).warn(LOG);
+        }
+      }
+    }
+    post(new NodeEvent.CatalogRead(askedMs, newest));
+  }
+
+  private void readLeader(long askedMs, boolean whole, List<Watch.Keyed> records) {
+    for (Watch.Keyed record : records) {
+      switch (JobCodec.LEADERS.decode(record.value())) {
+        case Decoded.Value<Leader> value -> post(new NodeEvent.LeaderRead(value.value()));
+        case Decoded.Malformed<Leader> malformed ->
+            LogLine.of("planner-record-malformed").with("why", malformed.why()).warn(LOG);
+      }
+    }
+  }
+
+  @Override
+  public Group group() {
+    Group joined = group;
+    if (joined == null) {
+      throw new IllegalStateException("the process has not started");
+    }
+    return joined;
+  }
+
+  @Override
+  public void watchServers(long epoch) {
+    ignoreServers();
+    servers =
+        new Watch(
+            store,
+            ServerDecoder.TOPIC,
+            SERVERS_WAIT_MS,
+            SERVERS_PAUSE_MS,
+            clock::steadyMs,
+            (asked, whole, records) -> readServers(epoch, whole, records));
+  }
+
+  private void readServers(long epoch, boolean whole, List<Watch.Keyed> records) {
+    List<ServerEntry> present = new ArrayList<>();
+    List<String> gone = new ArrayList<>();
+    for (Watch.Keyed record : records) {
+      if (record.value().length == 0) {
+        gone.add(record.key());
+        present.removeIf(entry -> entry.id().equals(record.key()));
+        continue;
+      }
+      switch (ServerDecoder.decode(record.key(), record.value())) {
+        case Decoded.Value<ServerEntry> value -> {
+          gone.remove(record.key());
+          present.removeIf(entry -> entry.id().equals(record.key()));
+          present.add(value.value());
+        }
+        case Decoded.Malformed<ServerEntry> malformed ->
+            LogLine.of("server-entry-malformed")
+                .with("server", record.key())
+                .with("why", malformed.why())
+                .info(LOG);
+      }
+    }
+    if (whole || !records.isEmpty()) {
+      post(new NodeEvent.ForPlan(epoch, new PlanEvent.ServersRead(present, gone, whole)));
+    }
+  }
+
+  @Override
+  public void ignoreServers() {
+    Watch old = servers;
+    if (old != null) {
+      old.close();
+      servers = null;
+    }
+  }
+
+  @Override
+  public void ready(boolean now) {
+    ready = now;
+  }
+
+  @Override
+  public void exit() {
+    exit.countDown();
+  }
+
+  /** Begins a graceful stop. */
+  void stop() {
+    post(new NodeEvent.StopAsked());
+  }
+
+  /** Waits until the process may end. */
+  void awaitExit() throws InterruptedException {
+    exit.await();
+    LogLine.of("stopped").with("instance", settings.name()).info(LOG);
+  }
+
+  @Override
+  public void close() throws Exception {
+    for (AutoCloseable watch : watches) {
+      watch.close();
+    }
+    ignoreServers();
+    clients.stop();
+    readiness.stop();
+    planner.close();
+    peers.close();
+    loop.close();
+    storeCalls.close();
+    orderCalls.close();
+  }
+}
--- /dev/null
+++ b/entry/src/main/java/dev/toucanstall/entry/node/NodeRunner.java
@@ -0,0 +1,197 @@
+package dev.toucanstall.entry.node;
+
+import dev.toucanstall.core.node.Leader;
+import dev.toucanstall.core.node.NodeEffect;
+import dev.toucanstall.core.node.NodeEvent;
+import dev.toucanstall.core.node.NodeMessage;
+import dev.toucanstall.core.plan.PlanEffect;
+import dev.toucanstall.core.plan.PlanEvent;
+import dev.toucanstall.core.plan.Verdict;
+import dev.toucanstall.platform.jobs.JobHandler;
+import dev.toucanstall.platform.orders.OrderClient;
+import dev.toucanstall.platform.settings.PlatformSettings;
+import dev.toucanstall.platform.store.Group;
+import dev.toucanstall.platform.store.JobLog;
+import dev.toucanstall.runtime.log.LogLine;
+import java.util.Map;
+import java.util.function.Consumer;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+
+/** Carries out the effects of an entry instance, on the control thread; never blocks. */
+final class NodeRunner implements Consumer<NodeEffect> {
+
+  private static final Logger LOG = LogManager.getLogger(NodeRunner.class);
+
+  private final PlatformSettings settings;
+  private final SteadyClock clock;
+  private final Consumer<NodeEvent> events;
+  private final JobHandler clients;
+  private final PlannerServer peers;
+  private final PlannerLink planner;
+  private final JobLog jobs;
+  private final OrderClient orders;
+  private final Parts parts;
+
+  /** Parts that come and go. */
+  interface Parts {
+
+    /** Returns the membership in the group of planners. */
+    Group group();
+
+    /** Starts to read the list of backend servers for a term. */
+    void watchServers(long epoch);
+
+    /** Stops to read the list of backend servers. */
+    void ignoreServers();
+
+    /** Answers readiness probes so from now on. */
+    void ready(boolean ready);
+
+    /** Ends the process. */
+    void exit();
+  }
+
+  NodeRunner(
+      PlatformSettings settings,
+      SteadyClock clock,
+      Consumer<NodeEvent> events,
+      JobHandler clients,
+      PlannerServer peers,
+      PlannerLink planner,
+      JobLog jobs,
+      OrderClient orders,
+      Parts parts) {
+    this.settings = settings;
+    this.clock = clock;
+    this.events = events;
+    this.clients = clients;
+    this.peers = peers;
+    this.planner = planner;
+    this.jobs = jobs;
+    this.orders = orders;
+    this.parts = parts;
+  }
+
+  @Override
+  public void accept(NodeEffect effect) {
+    switch (effect) {
+      case NodeEffect.Answer answer -> clients.answer(answer.ticket(), answer.answer());
+      case NodeEffect.AskPeer ask -> planner.ask(ask.planner(), ask.ticket(), ask.call());
+      case NodeEffect.AnswerPeer answer ->
+          peers.send(answer.link(), new NodeMessage.Reply(answer.number(), answer.answer()));
+      case NodeEffect.DeclinePeer decline ->
+          peers.send(decline.link(), new NodeMessage.NotPlanner(decline.number()));
+      case NodeEffect.Follow follow -> planner.follow(follow.planner());
+      case NodeEffect.Elect elect ->
+          Thread.ofPlatform().name("election").daemon().start(this::elect);
+      case NodeEffect.Announce announce -> {
+        parts.watchServers(announce.epoch());
+        announce(announce.epoch());
+      }
+      case NodeEffect.EndTerm endTerm -> parts.ignoreServers();
+      case NodeEffect.OfPlan ofPlan -> carryOut(ofPlan.epoch(), ofPlan.effect());
+      case NodeEffect.LeaveGroup leave -> parts.group().leave();
+      case NodeEffect.SetReady ready -> parts.ready(ready.ready());
+      case NodeEffect.Exit exit -> parts.exit();
+      case NodeEffect.Note note -> log(note.event(), note.fields());
+    }
+  }
+
+  private static void log(String event, Map<String, String> fields) {
+    LogLine line = LogLine.of(event);
+    fields.forEach(line::with);
+    line.info(LOG);
+  }
+
+  private Leader self(long epoch) {
+    return new Leader(epoch, settings.name(), settings.peers());
+  }
+
+  private void elect() {
+    try {
+      events.accept(
+          switch (jobs.elect(self(0))) {
+            case JobLog.Election.Won won ->
+                new NodeEvent.Elected(won.epoch(), won.nextSequence(), won.records());
+            case JobLog.Election.Lost lost -> new NodeEvent.NotElected(lost.why());
+          });
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    } catch (RuntimeException e) {
+      LogLine.of("election-error").error(LOG, e);
+      events.accept(new NodeEvent.NotElected(e.toString()));
+    }
+  }
+
+  private void announce(long epoch) {
+    jobs.announce(
+        self(epoch),
+        verdict -> {
+          if (verdict != Verdict.DONE && verdict != Verdict.FENCED) {
+            announce(epoch);
+          }
+        });
+  }
+
+  private void carryOut(long epoch, PlanEffect effect) {
+    switch (effect) {
+      case PlanEffect.Append append -> append(append);
+      case PlanEffect.Hold hold -> {
+        long sent = clock.steadyMs();
+        orders.hold(
+            hold,
+            result ->
+                tell(
+                    epoch,
+                    new PlanEvent.Held(
+                        hold.server().id(),
+                        hold.server().bornMs(),
+                        hold.acknowledged(),
+                        sent,
+                        result)));
+      }
+      case PlanEffect.Start start ->
+          orders.start(
+              start,
+              result ->
+                  tell(
+                      epoch,
+                      new PlanEvent.Started(
+                          start.server().id(),
+                          start.server().bornMs(),
+                          start.task(),
+                          start.run(),
+                          result)));
+      case PlanEffect.Stop stop ->
+          orders.stop(
+              stop,
+              result ->
+                  tell(
+                      epoch,
+                      new PlanEvent.Stopped(
+                          stop.server().id(),
+                          stop.server().bornMs(),
+                          stop.task(),
+                          stop.run(),
+                          result)));
+      case PlanEffect.Pace pace -> orders.pace(pace, result -> {});
+      case PlanEffect.Answer answer -> throw new IllegalArgumentException("answer in a plan");
+      case PlanEffect.Resign resign -> throw new IllegalArgumentException("resign in a plan");
+      case PlanEffect.Note note -> log(note.event(), note.fields());
+    }
+  }
+
+  private void append(PlanEffect.Append append) {
+    long sent = clock.steadyMs();
+    jobs.append(
+        append.epoch(),
+        append.sequence(),
+        append.records(),
+        verdict -> tell(append.epoch(), new PlanEvent.Appended(append.sequence(), sent, verdict)));
+  }
+
+  private void tell(long epoch, PlanEvent event) {
+    events.accept(new NodeEvent.ForPlan(epoch, event));
+  }
+}
--- /dev/null
+++ b/entry/src/main/java/dev/toucanstall/entry/node/PlannerLink.java
@@ -0,0 +1,142 @@
+package dev.toucanstall.entry.node;
+
+import dev.toucanstall.core.job.JobCall;
+import dev.toucanstall.core.model.Address;
+import dev.toucanstall.core.node.NodeEvent;
+import dev.toucanstall.core.node.NodeMessage;
+import dev.toucanstall.runtime.link.FrameLink;
+import dev.toucanstall.runtime.log.LogLine;
+import dev.toucanstall.wire.Decoded;
+import dev.toucanstall.wire.job.JobCodec;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.util.function.Consumer;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+import org.jspecify.annotations.Nullable;
+
+/** The link to the entry instance that plans. Thread-safe; sending never blocks. */
+final class PlannerLink implements AutoCloseable {
+
+  private static final Logger LOG = LogManager.getLogger(PlannerLink.class);
+  private static final int CONNECT_MILLIS = 500;
+
+  /** The other end answers a ping each 400 ms; after this silence the link is given up. */
+  private static final int SILENT_MILLIS = 1_300;
+
+  private static final long PING_MILLIS = 400;
+  private static final long PAUSE_MILLIS = 200;
+
+  private final Consumer<NodeEvent> events;
+  private final Thread pings =
+      Thread.ofPlatform().name("planner-ping").daemon().unstarted(this::ping);
+  private volatile boolean closed;
+  private volatile @Nullable Address planner;
+  private volatile @Nullable FrameLink link;
+
+  PlannerLink(Consumer<NodeEvent> events) {
+    this.events = events;
+    pings.start();
+    Thread.ofPlatform().name("planner-dial").daemon().start(this::dial);
+  }
+
+  /** Links to another planner from now on. */
+  void follow(Address next) {
+    planner = next;
+    FrameLink old = link;
+    if (old != null) {
+      old.close();
+    }
+  }
+
+  /** Asks the planner; if there is no link to it, that is told as an event. */
+  void ask(Address to, long ticket, JobCall call) {
+    FrameLink current = link;
+    boolean sent =
+        to.equals(planner)
+            && current != null
+            && current.offer(JobCodec.MESSAGES.encode(new NodeMessage.Ask(ticket, call)));
+    if (!sent) {
+      events.accept(new NodeEvent.LinkDown(to, "there is no link"));
+    }
+  }
+
+  private void ping() {
+    try {
+      while (!closed) {
+        FrameLink current = link;
+        if (current != null) {
+          current.offer(JobCodec.MESSAGES.encode(new NodeMessage.Ping(System.nanoTime())));
+        }
+        Thread.sleep(PING_MILLIS);
+      }
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+  }
+
+  private void dial() {
+    try {
+      while (!closed) {
+        Address to = planner;
+        if (to == null) {
+          Thread.sleep(PAUSE_MILLIS / 4);
+          continue;
+        }
+        String why = converse(to);
+        events.accept(new NodeEvent.LinkDown(to, why));
+        if (to.equals(planner)) {
+          Thread.sleep(PAUSE_MILLIS);
+        }
+      }
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+  }
+
+  private String converse(Address to) {
+    try (Socket socket = new Socket()) {
+      socket.setTcpNoDelay(true);
+      socket.setSoTimeout(SILENT_MILLIS);
+      socket.connect(new InetSocketAddress(to.host(), to.port()), CONNECT_MILLIS);
+      FrameLink fresh = new FrameLink(socket);
+      link = fresh;
+      events.accept(new NodeEvent.LinkUp(to));
+      return fresh.run(this::receive);
+    } catch (IOException e) {
+      return e.getClass().getSimpleName() + ": " + e.getMessage();
+    } finally {
+      link = null;
+    }
+  }
+
+  private void receive(byte[] frame) throws IOException {
+    switch (JobCodec.MESSAGES.decode(frame)) {
+      case Decoded.Value<NodeMessage> value -> receive(value.value());
+      case Decoded.Malformed<NodeMessage> malformed -> throw new IOException(malformed.why());
+    }
+  }
+
+  private void receive(NodeMessage message) {
+    switch (message) {
+      case NodeMessage.Reply reply ->
+          events.accept(new NodeEvent.PeerAnswered(reply.number(), reply.answer()));
+      case NodeMessage.NotPlanner declined ->
+          events.accept(new NodeEvent.PeerDeclined(declined.number()));
+      case NodeMessage.Ping ping -> {}
+      case NodeMessage.Ask ask ->
+          LogLine.of("ask-unexpected").with("number", ask.number()).warn(LOG);
+    }
+  }
+
+  @Override
+  public void close() {
+    closed = true;
+    pings.interrupt();
+    FrameLink current = link;
+    if (current != null) {
+      current.close();
+    }
+  }
+}
--- /dev/null
+++ b/entry/src/main/java/dev/toucanstall/entry/node/PlannerServer.java
@@ -0,0 +1,103 @@
+package dev.toucanstall.entry.node;
+
+import dev.toucanstall.core.model.Address;
+import dev.toucanstall.core.node.NodeEvent;
+import dev.toucanstall.core.node.NodeMessage;
+import dev.toucanstall.runtime.link.FrameLink;
+import dev.toucanstall.runtime.log.LogLine;
+import dev.toucanstall.wire.Decoded;
+import dev.toucanstall.wire.job.JobCodec;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.Consumer;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+
+/** Takes the calls of other entry instances. Thread-safe; sending never blocks. */
+final class PlannerServer implements AutoCloseable {
+
+  private static final Logger LOG = LogManager.getLogger(PlannerServer.class);
+
+  /** A link on which nothing comes for this long is given up, in milliseconds. */
+  private static final int SILENT_MILLIS = 5_000;
+
+  private final ServerSocket server = new ServerSocket();
+  private final Consumer<NodeEvent> events;
+  private final Map<Long, FrameLink> links = new ConcurrentHashMap<>();
+  private final AtomicLong numbers = new AtomicLong();
+  private volatile boolean closed;
+
+  PlannerServer(Address address, Consumer<NodeEvent> events) throws IOException {
+    this.events = events;
+    server.setReuseAddress(true);
+    server.bind(new InetSocketAddress(address.host(), address.port()));
+    Thread.ofPlatform().name("planner-accept").daemon().start(this::accept);
+  }
+
+  private void accept() {
+    while (!closed) {
+      try {
+        Socket socket = server.accept();
+        Thread.ofPlatform().name("planner-link").daemon().start(() -> serve(socket));
+      } catch (IOException e) {
+        if (!closed) {
+          LogLine.of("link-accept-failed").with("why", e).warn(LOG);
+        }
+      }
+    }
+  }
+
+  private void serve(Socket socket) {
+    long number = numbers.incrementAndGet();
+    try (socket) {
+      socket.setTcpNoDelay(true);
+      socket.setSoTimeout(SILENT_MILLIS);
+      FrameLink link = new FrameLink(socket);
+      links.put(number, link);
+      link.run(frame -> receive(number, link, frame));
+    } catch (IOException e) {
+      LogLine.of("link-failed").with("why", e).warn(LOG);
+    } finally {
+      links.remove(number);
+    }
+  }
+
+  private void receive(long number, FrameLink link, byte[] frame) throws IOException {
+    switch (JobCodec.MESSAGES.decode(frame)) {
+      case Decoded.Value<NodeMessage> value -> receive(number, link, value.value(), frame);
+      case Decoded.Malformed<NodeMessage> malformed -> throw new IOException(malformed.why());
+    }
+  }
+
+  private void receive(long number, FrameLink link, NodeMessage message, byte[] frame) {
+    switch (message) {
+      case NodeMessage.Ask ask ->
+          events.accept(new NodeEvent.PeerAsked(number, ask.number(), ask.call()));
+      case NodeMessage.Ping ping -> link.offer(frame);
+      case NodeMessage.Reply reply ->
+          LogLine.of("reply-unexpected").with("number", reply.number()).warn(LOG);
+      case NodeMessage.NotPlanner notPlanner ->
+          LogLine.of("reply-unexpected").with("number", notPlanner.number()).warn(LOG);
+    }
+  }
+
+  /** Sends a message; it is dropped if the link has ended, and its other end asks again. */
+  void send(long number, NodeMessage message) {
+    FrameLink link = links.get(number);
+    if (link == null || !link.offer(JobCodec.MESSAGES.encode(message))) {
+      LogLine.of("message-dropped").with("link", number).info(LOG);
+    }
+  }
+
+  @Override
+  public void close() throws IOException {
+    closed = true;
+    links.values().forEach(FrameLink::close);
+    server.close();
+  }
+}
--- /dev/null
+++ b/entry/src/main/java/dev/toucanstall/entry/node/SteadyClock.java
@@ -0,0 +1,21 @@
+package dev.toucanstall.entry.node;
+
+import dev.toucanstall.core.plan.Now;
+import java.util.concurrent.TimeUnit;
+
+/** Tells the time of events. Thread-safe. */
+final class SteadyClock {
+
+  /** First value, so that 0 can stand for "never". */
+  private static final long FIRST_MS = 1_000_000;
+
+  private final long startNanos = System.nanoTime();
+
+  long steadyMs() {
+    return FIRST_MS + TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - startNanos);
+  }
+
+  Now now() {
+    return new Now(steadyMs(), System.currentTimeMillis());
+  }
+}
--- a/entry/src/main/java/dev/toucanstall/entry/link/PeerLink.java
+++ b/runtime/src/main/java/dev/toucanstall/runtime/link/FrameLink.java
@@ -1,10 +1,7 @@
-package dev.toucanstall.entry.link;
+package dev.toucanstall.runtime.link;
 
-import dev.toucanstall.core.peer.PeerMessage;
 import dev.toucanstall.runtime.log.LogLine;
-import dev.toucanstall.wire.Decoded;
 import dev.toucanstall.wire.peer.Frames;
-import dev.toucanstall.wire.peer.PeerCodec;
 import java.io.BufferedInputStream;
 import java.io.BufferedOutputStream;
 import java.io.DataInputStream;
@@ -13,15 +10,14 @@
 import java.net.Socket;
 import java.util.concurrent.ArrayBlockingQueue;
 import java.util.concurrent.BlockingQueue;
-import java.util.function.Consumer;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 import org.jspecify.annotations.Nullable;
 
-/** One TCP link to a peer: a reading thread and a writing thread with a bounded queue. */
-final class PeerLink implements AutoCloseable {
+/** One TCP link: a reading thread and a writing thread with a bounded queue. Thread-safe. */
+public final class FrameLink implements AutoCloseable {
 
-  private static final Logger LOG = LogManager.getLogger(PeerLink.class);
+  private static final Logger LOG = LogManager.getLogger(FrameLink.class);
   private static final int QUEUE_LENGTH = 1_024;
 
   private final Socket socket;
@@ -30,48 +26,81 @@
   private final BlockingQueue<byte[]> queue = new ArrayBlockingQueue<>(QUEUE_LENGTH);
   private volatile @Nullable Thread writer;
 
-  PeerLink(Socket socket) throws IOException {
+  /** Takes a frame; an exception ends the link. */
+  @FunctionalInterface
+  public interface FrameReader {
+
+    /**
+     * Takes a frame.
+     *
+     * @param frame the bytes
+     * @throws IOException if the frame is malformed
+     */
+    void read(byte[] frame) throws IOException;
+  }
+
+  /**
+   * Creates a link.
+   *
+   * @param socket a connected socket, closed with the link
+   * @throws IOException if the socket is closed
+   */
+  public FrameLink(Socket socket) throws IOException {
     this.socket = socket;
     this.in = new DataInputStream(new BufferedInputStream(socket.getInputStream()));
     this.out = new DataOutputStream(new BufferedOutputStream(socket.getOutputStream()));
   }
 
-  DataInputStream in() {
+  /**
+   * Returns the stream of received bytes, for a handshake.
+   *
+   * @return the stream
+   */
+  public DataInputStream in() {
     return in;
   }
 
-  DataOutputStream out() {
+  /**
+   * Returns the stream of sent bytes, for a handshake.
+   *
+   * @return the stream
+   */
+  public DataOutputStream out() {
     return out;
   }
 
-  /** Queues a message; returns false if the queue is full. */
-  boolean offer(byte[] bytes) {
+  /**
+   * Queues a frame without blocking.
+   *
+   * @param bytes the frame
+   * @return false if the queue is full
+   */
+  public boolean offer(byte[] bytes) {
     return queue.offer(bytes);
   }
 
-  /** Reads messages until the link ends, on the calling thread, and writes on another. */
-  void run(Consumer<PeerMessage> received) {
-    Thread writing = Thread.ofVirtual().name("peer-write").start(this::write);
+  /**
+   * Reads frames until the link ends, on the calling thread, and writes on another.
+   *
+   * @param received takes each frame
+   * @return why the link ended
+   */
+  public String run(FrameReader received) {
+    Thread writing = Thread.ofVirtual().name("link-write").start(this::write);
     writer = writing;
     try {
       while (true) {
-        take(Frames.read(in), received);
+        received.read(Frames.read(in));
       }
     } catch (IOException e) {
-      LogLine.of("peer-link-ended").with("why", String.valueOf(e.getMessage())).info(LOG);
+      String why = e.getClass().getSimpleName() + ": " + e.getMessage();
+      LogLine.of("link-ended").with("why", why).info(LOG);
+      return why;
     } finally {
       close();
     }
   }
 
-  private static void take(byte[] frame, Consumer<PeerMessage> received) throws IOException {
-    switch (PeerCodec.decode(frame)) {
-      case Decoded.Value<PeerMessage> value -> received.accept(value.value());
-      case Decoded.Malformed<PeerMessage> malformed ->
-          throw new IOException("malformed peer message: " + malformed.why());
-    }
-  }
-
   private void write() {
     try {
       while (true) {
@@ -96,7 +125,7 @@
     try {
       socket.close();
     } catch (IOException e) {
-      LogLine.of("peer-close-failed").with("why", e).warn(LOG);
+      LogLine.of("link-close-failed").with("why", e).warn(LOG);
     }
   }
 }
--- a/wire/src/main/java/dev/toucanstall/wire/json/Mappers.java
+++ b/wire/src/main/java/dev/toucanstall/wire/json/Mappers.java
@@ -18,6 +18,9 @@
 import dev.toucanstall.core.event.OperatorRequest;
 import dev.toucanstall.core.fold.MemberChange;
 import dev.toucanstall.core.fold.Phase;
+import dev.toucanstall.core.job.JobAnswer;
+import dev.toucanstall.core.job.JobCall;
+import dev.toucanstall.core.job.JobRecord;
 import dev.toucanstall.core.model.DomainId;
 import dev.toucanstall.core.model.Id;
 import dev.toucanstall.core.model.InstanceId;
@@ -28,6 +31,7 @@
 import dev.toucanstall.core.model.ServiceId;
 import dev.toucanstall.core.model.TeamId;
 import dev.toucanstall.core.model.WaveId;
+import dev.toucanstall.core.node.NodeMessage;
 import dev.toucanstall.core.peer.PeerMessage;
 import dev.toucanstall.core.peer.SlotKey;
 import dev.toucanstall.core.record.DrainReason;
@@ -57,7 +61,14 @@
           OperatorRequest.class,
           OperatorAnswer.class);
 
-  private static final List<Class<?>> SEALED_OF_PEERS = List.of(PeerMessage.class, SlotKey.class);
+  private static final List<Class<?>> SEALED_OF_PEERS =
+      List.of(
+          PeerMessage.class,
+          SlotKey.class,
+          NodeMessage.class,
+          JobCall.class,
+          JobAnswer.class,
+          JobRecord.class);
 
   private static final ObjectMapper JSON = json();
   private static final ObjectMapper MESSAGE_PACK = messagePack();
