Carry out maintenance waves within what their pools and steps bear

Change: the planner empties machines of a wave (lasting tasks one at a time a step, checkpointing ones by a stop), has the platform maintain them and tells the operators; what has begun is stored, so that a new planner goes on from there.

--- a/core/src/main/java/dev/toucanstall/core/job/JobRecord.java
+++ b/core/src/main/java/dev/toucanstall/core/job/JobRecord.java
@@ -2,16 +2,9 @@
 
 import java.util.List;
 
-/** What the planner stores of a job. The newest record of each key stands for the whole past. */
+/** What the planner stores. The newest record of each key stands for the whole past. */
 public sealed interface JobRecord {
 
-  /**
-   * Returns the job's id.
-   *
-   * @return the id
-   */
-  String job();
-
   /**
    * A job was handed in.
    *
@@ -43,6 +36,20 @@
     }
   }
 
+  /**
+   * How far a maintenance wave is; replaces earlier records of the wave.
+   *
+   * @param wave its number
+   * @param begun the machines whose maintenance has begun
+   */
+  record WaveProgress(int wave, List<String> begun) implements JobRecord {
+
+    /** Copies the list. */
+    public WaveProgress {
+      begun = List.copyOf(begun);
+    }
+  }
+
   /**
    * How far a task is.
    *
--- a/core/src/main/java/dev/toucanstall/core/node/Node.java
+++ b/core/src/main/java/dev/toucanstall/core/node/Node.java
@@ -1,6 +1,7 @@
 package dev.toucanstall.core.node;
 
 import dev.toucanstall.core.job.Catalog;
+import dev.toucanstall.core.job.WaveOrder;
 import dev.toucanstall.core.plan.Now;
 import dev.toucanstall.core.plan.Plan;
 import java.util.ArrayList;
@@ -22,6 +23,7 @@
   final String name;
   final Map<Long, Pending> pending = new LinkedHashMap<>();
   final Map<Long, Origin> origins = new HashMap<>();
+  final Map<Integer, WaveOrder> waves = new LinkedHashMap<>();
   @Nullable Catalog catalog;
   @Nullable Leader leader;
   @Nullable Plan plan;
--- a/core/src/main/java/dev/toucanstall/core/node/NodeEvent.java
+++ b/core/src/main/java/dev/toucanstall/core/node/NodeEvent.java
@@ -4,6 +4,7 @@
 import dev.toucanstall.core.job.JobAnswer;
 import dev.toucanstall.core.job.JobCall;
 import dev.toucanstall.core.job.JobRecord;
+import dev.toucanstall.core.job.WaveOrder;
 import dev.toucanstall.core.model.Address;
 import dev.toucanstall.core.plan.PlanEvent;
 import java.util.List;
@@ -70,6 +71,13 @@
    */
   record CatalogRead(long askedMs, @Nullable Catalog catalog) implements NodeEvent {}
 
+  /**
+   * The operators want machines maintained.
+   *
+   * @param order what is wanted
+   */
+  record WaveRead(WaveOrder order) implements NodeEvent {}
+
   /**
    * The store names the planner.
    *
--- a/core/src/main/java/dev/toucanstall/core/node/NodeReducer.java
+++ b/core/src/main/java/dev/toucanstall/core/node/NodeReducer.java
@@ -32,6 +32,7 @@
       case NodeEvent.LinkUp up -> Delivery.linkUp(node, up.address(), now);
       case NodeEvent.LinkDown down -> Delivery.linkDown(node, down);
       case NodeEvent.CatalogRead read -> FreshnessRules.read(node, read, now);
+      case NodeEvent.WaveRead read -> Terms.waveRead(node, read.order(), now);
       case NodeEvent.LeaderRead read -> Terms.leaderRead(node, read.leader(), now);
       case NodeEvent.Joined joined -> Terms.joined(node, joined.holder(), now);
       case NodeEvent.Elected elected -> Terms.elected(node, elected, now);
--- a/core/src/main/java/dev/toucanstall/core/node/Terms.java
+++ b/core/src/main/java/dev/toucanstall/core/node/Terms.java
@@ -1,6 +1,7 @@
 package dev.toucanstall.core.node;
 
 import dev.toucanstall.core.job.Catalog;
+import dev.toucanstall.core.job.WaveOrder;
 import dev.toucanstall.core.plan.Now;
 import dev.toucanstall.core.plan.Plan;
 import dev.toucanstall.core.plan.PlanEffect;
@@ -54,6 +55,7 @@
         "records",
         Integer.toString(elected.records().size()));
     node.emit(new NodeEffect.Announce(elected.epoch()));
+    node.waves.values().forEach(w -> tell(node, new PlanEvent.WaveOrdered(w), now));
     node.pending.values().forEach(p -> p.asked = null);
     Delivery.sendWaiting(node, now);
   }
@@ -77,6 +79,12 @@
     Delivery.sendWaiting(node, now);
   }
 
+  static void waveRead(Node node, WaveOrder order, Now now) {
+    if (node.waves.putIfAbsent(order.number(), order) == null) {
+      tell(node, new PlanEvent.WaveOrdered(order), now);
+    }
+  }
+
   /** Tells the planner something that belongs to a term. */
   static void tell(Node node, long epoch, PlanEvent event, Now now) {
     Plan plan = node.plan;
--- /dev/null
+++ b/core/src/main/java/dev/toucanstall/core/plan/Evacuation.java
@@ -0,0 +1,60 @@
+package dev.toucanstall.core.plan;
+
+import dev.toucanstall.core.job.TaskPhase;
+import java.util.List;
+
+/** Decides which tasks leave a backend server that is to be empty, and when. */
+final class Evacuation {
+
+  /** Tasks that still run after this time are stopped, in milliseconds. */
+  private static final long PATIENCE_MS = 5_000;
+
+  /** Share of its work, in percent, at which a lasting task serves its users. */
+  static final int AT_WORK = 100;
+
+  private Evacuation() {}
+
+  static void advance(Plan plan, Now now) {
+    for (Server server : List.copyOf(plan.servers.values())) {
+      if ((server.evacuating || server.entry.draining()) && !server.tasks.isEmpty()) {
+        advance(plan, server, now);
+      }
+    }
+  }
+
+  private static void advance(Plan plan, Server server, Now now) {
+    boolean drains = server.entry.draining();
+    boolean impatient =
+        server.evacuating && now.steadyMs() - server.evacuatingSinceMs > PATIENCE_MS;
+    for (Task task : List.copyOf(server.tasks)) {
+      if (task.phase != TaskPhase.RUNNING || !roomElsewhere(plan, server, task)) {
+        continue;
+      }
+      if (task.step.lasting()) {
+        if (drains || mayStop(task)) {
+          OrderRules.stopOnceStored(plan, task);
+        }
+      } else if (impatient || (task.step.checkpoints() && server.evacuating)) {
+        OrderRules.stopOnceStored(plan, task);
+      }
+    }
+  }
+
+  /** A lasting task may be stopped while fewer others of its step are away than the step bears. */
+  private static boolean mayStop(Task task) {
+    List<Task> step = task.job.occurrences.get(task.key.occurrence()).get(task.key.step());
+    long away = step.stream().filter(t -> t != task && !atWork(t)).count();
+    return away < Math.max(1, task.step.mayMiss());
+  }
+
+  static boolean atWork(Task task) {
+    return task.phase == TaskPhase.RUNNING && task.percent >= AT_WORK;
+  }
+
+  private static boolean roomElsewhere(Plan plan, Server server, Task task) {
+    return plan.servers.values().stream()
+        .filter(s -> s != server && s.entry.service().equals(task.job.service))
+        .filter(s -> s.known && !s.unlisted && !s.entry.draining() && !s.evacuating)
+        .anyMatch(s -> task.step.reserved().fitsInto(s.free()));
+  }
+}
--- a/core/src/main/java/dev/toucanstall/core/plan/Ledger.java
+++ b/core/src/main/java/dev/toucanstall/core/plan/Ledger.java
@@ -63,6 +63,10 @@
     changed.add(job);
   }
 
+  void other(JobRecord record) {
+    others.add(record);
+  }
+
   /** Does something once all changes so far are stored. */
   void afterStore(AfterStore step) {
     waiting.add(step);
--- a/core/src/main/java/dev/toucanstall/core/plan/Placement.java
+++ b/core/src/main/java/dev/toucanstall/core/plan/Placement.java
@@ -186,6 +186,9 @@
       if (task.avoid.contains(server.entry.id())) {
         score -= 1_000_000_000L;
       }
+      if (task.step.lasting() && Maintenance.awaitsMaintenance(plan, server)) {
+        score -= 10_000_000L;
+      }
       if (!task.step.rack().isEmpty() && server.entry.labels().contains(task.step.rack())) {
         score += 1_000_000L;
       }
--- a/core/src/main/java/dev/toucanstall/core/plan/Plan.java
+++ b/core/src/main/java/dev/toucanstall/core/plan/Plan.java
@@ -28,6 +28,8 @@
   final Map<String, Job> jobs = new LinkedHashMap<>();
   final Map<String, Server> servers = new LinkedHashMap<>();
   final Map<String, Set<Job>> openByService = new HashMap<>();
+  final Map<Integer, Wave> waves = new LinkedHashMap<>();
+  final Machines machines = new Machines();
   final Durations durations = new Durations();
 
   /** Services whose queue must be looked at. */
--- a/core/src/main/java/dev/toucanstall/core/plan/PlanEffect.java
+++ b/core/src/main/java/dev/toucanstall/core/plan/PlanEffect.java
@@ -82,6 +82,27 @@
   record Pace(ServerEntry server, long fence, TaskKey task, long run, int percent)
       implements PlanEffect {}
 
+  /** Ask the platform for its machines. */
+  record ListMachines() implements PlanEffect {}
+
+  /**
+   * Have the platform maintain a machine, which ends all that runs on it.
+   *
+   * @param wave the wave
+   * @param machine the machine
+   * @param fence the fencing token
+   */
+  record Maintain(int wave, String machine, long fence) implements PlanEffect {}
+
+  /**
+   * Tell the operators how far a wave is.
+   *
+   * @param wave the wave
+   * @param completed whether the maintenance of every machine that stays has begun
+   * @param epoch the term
+   */
+  record TellWave(int wave, boolean completed, long epoch) implements PlanEffect {}
+
   /**
    * Stop planning: another planner has taken over.
    *
--- a/core/src/main/java/dev/toucanstall/core/plan/PlanEvent.java
+++ b/core/src/main/java/dev/toucanstall/core/plan/PlanEvent.java
@@ -2,8 +2,10 @@
 
 import dev.toucanstall.core.job.Catalog;
 import dev.toucanstall.core.job.JobCall;
+import dev.toucanstall.core.job.MachineEntry;
 import dev.toucanstall.core.job.ServerEntry;
 import dev.toucanstall.core.job.TaskKey;
+import dev.toucanstall.core.job.WaveOrder;
 import java.util.List;
 
 /** What the planner is told. */
@@ -88,4 +90,41 @@
    */
   record Stopped(String server, long bornMs, TaskKey task, long run, OrderResult result)
       implements PlanEvent {}
+
+  /**
+   * An operator wants machines maintained; telling it again has no effect.
+   *
+   * @param order what is wanted
+   */
+  record WaveOrdered(WaveOrder order) implements PlanEvent {}
+
+  /**
+   * The platform has listed its machines.
+   *
+   * @param askedMs when it was asked, steady milliseconds
+   * @param machines all machines
+   */
+  record MachinesRead(long askedMs, List<MachineEntry> machines) implements PlanEvent {
+
+    /** Copies the list. */
+    public MachinesRead {
+      machines = List.copyOf(machines);
+    }
+  }
+
+  /**
+   * The platform could not list its machines.
+   *
+   * @param why what went wrong
+   */
+  record MachinesUnknown(String why) implements PlanEvent {}
+
+  /**
+   * An order to maintain a machine has ended.
+   *
+   * @param wave the wave
+   * @param machine the machine
+   * @param result what became of it
+   */
+  record Maintained(int wave, String machine, MaintainResult result) implements PlanEvent {}
 }
--- a/core/src/main/java/dev/toucanstall/core/plan/PlanReducer.java
+++ b/core/src/main/java/dev/toucanstall/core/plan/PlanReducer.java
@@ -40,7 +40,13 @@
       case PlanEvent.Held held -> HoldRules.held(plan, held, now);
       case PlanEvent.Started started -> OrderRules.started(plan, started, now);
       case PlanEvent.Stopped stopped -> OrderRules.stopped(plan, stopped, now);
+      case PlanEvent.WaveOrdered ordered -> Maintenance.ordered(plan, ordered.order(), now);
+      case PlanEvent.MachinesRead read -> Maintenance.machinesRead(plan, read, now);
+      case PlanEvent.MachinesUnknown unknown -> Maintenance.machinesUnknown(plan, unknown, now);
+      case PlanEvent.Maintained maintained -> Maintenance.maintained(plan, maintained, now);
     }
+    Maintenance.advance(plan, now);
+    Evacuation.advance(plan, now);
     Placement.place(plan, now);
     ServerRules.renewLeases(plan, now);
     plan.ledger.flush(now, plan.emitter());
--- a/core/src/main/java/dev/toucanstall/core/plan/Recovery.java
+++ b/core/src/main/java/dev/toucanstall/core/plan/Recovery.java
@@ -35,6 +35,9 @@
       if (record instanceof JobRecord.Progress progress) {
         restore(plan, progress, now);
       }
+      if (record instanceof JobRecord.WaveProgress progress) {
+        plan.machines.begun(progress.wave()).addAll(progress.begun());
+      }
     }
   }
 
--- a/core/src/main/java/dev/toucanstall/core/plan/Server.java
+++ b/core/src/main/java/dev/toucanstall/core/plan/Server.java
@@ -53,6 +53,12 @@
   /** Until when it gets no new tasks. */
   long suspendedUntilMs;
 
+  /** Whether its tasks are being moved away. */
+  boolean evacuating;
+
+  /** Since when its tasks are being moved away, 0 if they are not. */
+  long evacuatingSinceMs;
+
   /** Failures in a row. */
   int failures;
 
@@ -95,6 +101,7 @@
     return known
         && !unlisted
         && !entry.draining()
+        && !evacuating
         && silentSinceMs == 0
         && nowMs >= suspendedUntilMs;
   }
--- a/core/src/main/java/dev/toucanstall/core/plan/ServerRules.java
+++ b/core/src/main/java/dev/toucanstall/core/plan/ServerRules.java
@@ -13,6 +13,9 @@
   /** How long a call may wait at a backend server for an end, in milliseconds. */
   static final long WAIT_MS = 2_000;
 
+  /** The same while a lasting task starts up, in milliseconds. */
+  static final long SHORT_WAIT_MS = 400;
+
   /** Refused connections in a row after which nothing runs at an address any more. */
   static final int REFUSALS_OF_A_DEAD_PROCESS = 2;
 
@@ -134,10 +137,16 @@
     return !server.known || !server.tasks.isEmpty() || server.storedEnds > server.acknowledgedEnds;
   }
 
+  /** A lasting task whose start-up must be seen to end. */
+  private static boolean starting(Task task) {
+    return task.step.lasting() && task.phase.bound() && task.percent < Evacuation.AT_WORK;
+  }
+
   private static void hold(Plan plan, Server server, Now now) {
     boolean runs = server.tasks.stream().anyMatch(t -> t.phase != TaskPhase.ORDERED || t.sends > 0);
     long lease = server.tasks.isEmpty() ? 0 : server.lease(PlanReducer.LEASE_MS, now.steadyMs());
-    long wait = server.known && runs && server.silentSinceMs == 0 ? WAIT_MS : 0;
+    long longest = server.tasks.stream().anyMatch(ServerRules::starting) ? SHORT_WAIT_MS : WAIT_MS;
+    long wait = server.known && runs && server.silentSinceMs == 0 ? longest : 0;
     server.holding = true;
     server.holdSentMs = now.steadyMs();
     plan.emit(new PlanEffect.Hold(server.entry, plan.epoch, server.storedEnds, lease, wait));
--- a/entry/src/main/java/dev/toucanstall/entry/node/NodeProcess.java
+++ b/entry/src/main/java/dev/toucanstall/entry/node/NodeProcess.java
@@ -2,6 +2,7 @@
 
 import dev.toucanstall.core.job.Catalog;
 import dev.toucanstall.core.job.ServerEntry;
+import dev.toucanstall.core.job.WaveOrder;
 import dev.toucanstall.core.node.Leader;
 import dev.toucanstall.core.node.Node;
 import dev.toucanstall.core.node.NodeEffect;
@@ -9,12 +10,15 @@
 import dev.toucanstall.core.node.NodeReducer;
 import dev.toucanstall.core.plan.PlanEvent;
 import dev.toucanstall.platform.jobs.JobHandler;
+import dev.toucanstall.platform.machines.MachineClient;
+import dev.toucanstall.platform.machines.WaveDecoder;
 import dev.toucanstall.platform.orders.OrderClient;
 import dev.toucanstall.platform.settings.PlatformSettings;
 import dev.toucanstall.platform.store.CatalogDecoder;
 import dev.toucanstall.platform.store.Group;
 import dev.toucanstall.platform.store.JobLog;
 import dev.toucanstall.platform.store.ServerDecoder;
+import dev.toucanstall.platform.store.StatusLog;
 import dev.toucanstall.platform.store.StoreClient;
 import dev.toucanstall.platform.store.Watch;
 import dev.toucanstall.runtime.http.Answer;
@@ -60,6 +64,7 @@
   private final AsyncCalls storeCalls = new AsyncCalls("store", STORE_CONNECTIONS);
   private final AsyncCalls orderCalls = new AsyncCalls("orders", ORDER_CONNECTIONS);
   private final StoreClient store;
+  private final StatusLog status;
   private final ControlLoop<Node, NodeEvent, NodeEffect> loop;
   private final JobHandler handler;
   private final PlannerServer peers;
@@ -75,6 +80,7 @@
   NodeProcess(PlatformSettings settings) throws IOException {
     this.settings = settings;
     store = new StoreClient(storeCalls, settings.store());
+    status = new StatusLog(store);
     handler = new JobHandler((ticket, call) -> post(new NodeEvent.Called(ticket, call)));
     peers = new PlannerServer(settings.peers(), this::post);
     planner = new PlannerLink(this::post);
@@ -88,6 +94,8 @@
             planner,
             new JobLog(store),
             new OrderClient(orderCalls),
+            new MachineClient(storeCalls, settings.machines(), settings.name()),
+            status,
             this);
     loop =
         new ControlLoop<>(
@@ -149,6 +157,9 @@
   private void readCatalog(long askedMs, boolean whole, List<Watch.Keyed> records) {
     Catalog newest = null;
     for (Watch.Keyed record : records) {
+      if (record.key().startsWith(WaveDecoder.PREFIX) && record.value().length > 0) {
+        readWave(record);
+      }
       if (record.key().equals(CatalogDecoder.KEY) && record.value().length > 0) {
         switch (CatalogDecoder.decode(record.value())) {
           case Decoded.Value<Catalog> value -> newest = value.value();
@@ -160,6 +171,17 @@
     post(new NodeEvent.CatalogRead(askedMs, newest));
   }
 
+  private void readWave(Watch.Keyed record) {
+    switch (WaveDecoder.decode(record.value())) {
+      case Decoded.Value<WaveOrder> value -> post(new NodeEvent.WaveRead(value.value()));
+      case Decoded.Malformed<WaveOrder> malformed ->
+          LogLine.of("wave-malformed")
+              .with("key", record.key())
+              .with("why", malformed.why())
+              .warn(LOG);
+    }
+  }
+
   private void readLeader(long askedMs, boolean whole, List<Watch.Keyed> records) {
     for (Watch.Keyed record : records) {
       switch (JobCodec.LEADERS.decode(record.value())) {
@@ -255,6 +277,7 @@
       watch.close();
     }
     ignoreServers();
+    status.close();
     clients.stop();
     readiness.stop();
     planner.close();
--- a/entry/src/main/java/dev/toucanstall/entry/node/NodeRunner.java
+++ b/entry/src/main/java/dev/toucanstall/entry/node/NodeRunner.java
@@ -1,5 +1,6 @@
 package dev.toucanstall.entry.node;
 
+import dev.toucanstall.core.job.MachineEntry;
 import dev.toucanstall.core.node.Leader;
 import dev.toucanstall.core.node.NodeEffect;
 import dev.toucanstall.core.node.NodeEvent;
@@ -8,11 +9,14 @@
 import dev.toucanstall.core.plan.PlanEvent;
 import dev.toucanstall.core.plan.Verdict;
 import dev.toucanstall.platform.jobs.JobHandler;
+import dev.toucanstall.platform.machines.MachineClient;
 import dev.toucanstall.platform.orders.OrderClient;
 import dev.toucanstall.platform.settings.PlatformSettings;
 import dev.toucanstall.platform.store.Group;
 import dev.toucanstall.platform.store.JobLog;
+import dev.toucanstall.platform.store.StatusLog;
 import dev.toucanstall.runtime.log.LogLine;
+import java.util.List;
 import java.util.Map;
 import java.util.function.Consumer;
 import org.apache.logging.log4j.LogManager;
@@ -31,6 +35,8 @@
   private final PlannerLink planner;
   private final JobLog jobs;
   private final OrderClient orders;
+  private final MachineClient machines;
+  private final StatusLog status;
   private final Parts parts;
 
   /** Parts that come and go. */
@@ -61,6 +67,8 @@
       PlannerLink planner,
       JobLog jobs,
       OrderClient orders,
+      MachineClient machines,
+      StatusLog status,
       Parts parts) {
     this.settings = settings;
     this.clock = clock;
@@ -70,6 +78,8 @@
     this.planner = planner;
     this.jobs = jobs;
     this.orders = orders;
+    this.machines = machines;
+    this.status = status;
     this.parts = parts;
   }
 
@@ -176,12 +186,36 @@
                           stop.run(),
                           result)));
       case PlanEffect.Pace pace -> orders.pace(pace, result -> {});
+      case PlanEffect.ListMachines list -> machines.list(reader(epoch));
+      case PlanEffect.Maintain maintain ->
+          machines.maintain(
+              maintain,
+              result ->
+                  tell(
+                      epoch,
+                      new PlanEvent.Maintained(maintain.wave(), maintain.machine(), result)));
+      case PlanEffect.TellWave tellWave -> status.tell(tellWave);
       case PlanEffect.Answer answer -> throw new IllegalArgumentException("answer in a plan");
       case PlanEffect.Resign resign -> throw new IllegalArgumentException("resign in a plan");
       case PlanEffect.Note note -> log(note.event(), note.fields());
     }
   }
 
+  private MachineClient.ListReader reader(long epoch) {
+    long asked = clock.steadyMs();
+    return new MachineClient.ListReader() {
+      @Override
+      public void listed(List<MachineEntry> all) {
+        tell(epoch, new PlanEvent.MachinesRead(asked, all));
+      }
+
+      @Override
+      public void unknown(String why) {
+        tell(epoch, new PlanEvent.MachinesUnknown(why));
+      }
+    };
+  }
+
   private void append(PlanEffect.Append append) {
     long sent = clock.steadyMs();
     jobs.append(
