Elect only when the planner is unfit; free tasks of ended backend servers

Change: pongs say whether the planner is confirmed; an election first fences, then reads, then claims; a record holds the address of a bound task; a silent backend server is looked at without a renewal; a queue goes on past tasks without room.

--- a/core/src/main/java/dev/toucanstall/core/job/JobRecord.java
+++ b/core/src/main/java/dev/toucanstall/core/job/JobRecord.java
@@ -59,6 +59,7 @@
    * @param phase how far
    * @param run the newest run's number, 0 if none
    * @param server the backend server of a bound task, else empty
+   * @param address where that backend server takes orders, empty if there is none
    * @param bornMs when that life of the backend server began
    * @param failures how often it has failed
    * @param saved the newest checkpoint, empty if none
@@ -70,6 +71,7 @@
       TaskPhase phase,
       long run,
       String server,
+      String address,
       long bornMs,
       int failures,
       String saved) {}
--- a/core/src/main/java/dev/toucanstall/core/node/Delivery.java
+++ b/core/src/main/java/dev/toucanstall/core/node/Delivery.java
@@ -100,6 +100,7 @@
     if (leader != null && leader.address().equals(down.address()) && node.leaderReachable) {
       node.note("planner-unreachable", "planner", leader.member(), "why", down.why());
       node.leaderReachable = false;
+      node.leaderPlans = false;
     }
     node.pending.values().stream()
         .filter(p -> down.address().equals(p.asked))
--- a/core/src/main/java/dev/toucanstall/core/node/Node.java
+++ b/core/src/main/java/dev/toucanstall/core/node/Node.java
@@ -32,6 +32,10 @@
   long catalogAskedMs = Long.MIN_VALUE / 2;
 
   boolean leaderReachable;
+
+  /** Whether the planner said lately that it plans and the store confirms it. */
+  boolean leaderPlans;
+
   boolean electing;
   long electAfterMs;
   boolean ready;
--- a/core/src/main/java/dev/toucanstall/core/node/NodeEffect.java
+++ b/core/src/main/java/dev/toucanstall/core/node/NodeEffect.java
@@ -35,6 +35,14 @@
    */
   record AnswerPeer(long link, long number, JobAnswer answer) implements NodeEffect {}
 
+  /**
+   * Tell another entry instance whether this one plans.
+   *
+   * @param link the link that it asked by
+   * @param plans whether it plans and the store has confirmed it lately
+   */
+  record AnswerPing(long link, boolean plans) implements NodeEffect {}
+
   /**
    * Tell another entry instance that this one does not plan.
    *
@@ -50,8 +58,12 @@
    */
   record Follow(Address planner) implements NodeEffect {}
 
-  /** Try to become the planner. */
-  record Elect() implements NodeEffect {}
+  /**
+   * Try to become the planner.
+   *
+   * @param lastEpoch the highest fencing token that is known
+   */
+  record Elect(long lastEpoch) implements NodeEffect {}
 
   /**
    * Tell all entry instances that this one plans, and read the list of backend servers.
--- a/core/src/main/java/dev/toucanstall/core/node/NodeEvent.java
+++ b/core/src/main/java/dev/toucanstall/core/node/NodeEvent.java
@@ -33,6 +33,20 @@
    */
   record PeerAsked(long link, long number, JobCall call) implements NodeEvent {}
 
+  /**
+   * Another entry instance wants to know whether this one plans.
+   *
+   * @param link the link that it came by
+   */
+  record PeerPinged(long link) implements NodeEvent {}
+
+  /**
+   * The entry instance that is followed has told whether it plans.
+   *
+   * @param plans whether it plans and the store has confirmed it lately
+   */
+  record PeerPonged(boolean plans) implements NodeEvent {}
+
   /**
    * The planner answered.
    *
--- a/core/src/main/java/dev/toucanstall/core/node/NodeMessage.java
+++ b/core/src/main/java/dev/toucanstall/core/node/NodeMessage.java
@@ -29,10 +29,13 @@
    */
   record NotPlanner(long number) implements NodeMessage {}
 
+  /** Asks whether the receiver plans. */
+  record Ping() implements NodeMessage {}
+
   /**
-   * Asks whether the link works; answered by the same.
+   * Answers a ping.
    *
-   * @param sentMs the sender's clock
+   * @param plans whether the sender plans and the store has confirmed it lately
    */
-  record Ping(long sentMs) implements NodeMessage {}
+  record Pong(boolean plans) implements NodeMessage {}
 }
--- a/core/src/main/java/dev/toucanstall/core/node/NodeReducer.java
+++ b/core/src/main/java/dev/toucanstall/core/node/NodeReducer.java
@@ -26,6 +26,9 @@
       case NodeEvent.Tick tick -> tick(node, now);
       case NodeEvent.Called called -> Admission.decide(node, called, now);
       case NodeEvent.PeerAsked asked -> Delivery.asked(node, asked, now);
+      case NodeEvent.PeerPinged pinged ->
+          node.emit(new NodeEffect.AnswerPing(pinged.link(), Terms.plansWell(node, now)));
+      case NodeEvent.PeerPonged ponged -> node.leaderPlans = ponged.plans();
       case NodeEvent.PeerAnswered answered ->
           Delivery.answered(node, answered.ticket(), answered.answer());
       case NodeEvent.PeerDeclined declined -> Delivery.declined(node, declined.ticket());
--- a/core/src/main/java/dev/toucanstall/core/node/Terms.java
+++ b/core/src/main/java/dev/toucanstall/core/node/Terms.java
@@ -25,13 +25,22 @@
         || node.plan != null
         || node.electing
         || node.stopping
+        || (node.leaderReachable && node.leaderPlans)
         || node.catalog == null
         || now.steadyMs() < node.electAfterMs) {
       return;
     }
     node.electing = true;
     node.note("election-begun");
-    node.emit(new NodeEffect.Elect());
+    Leader known = node.leader;
+    node.emit(new NodeEffect.Elect(known == null ? 0 : known.epoch()));
+  }
+
+  static boolean plansWell(Node node, Now now) {
+    Plan plan = node.plan;
+    return plan != null
+        && !node.stopping
+        && now.steadyMs() - plan.confirmedMs() <= PlanReducer.START_PERMISSION_MS;
   }
 
   static void notElected(Node node, String why, Now now) {
@@ -67,6 +76,7 @@
     }
     node.leader = leader;
     node.leaderReachable = true;
+    node.leaderPlans = false;
     node.note("planner-named", "planner", leader.member(), "epoch", Long.toString(leader.epoch()));
     node.emit(new NodeEffect.Follow(leader.address()));
     Plan plan = node.plan;
--- a/core/src/main/java/dev/toucanstall/core/plan/HoldRules.java
+++ b/core/src/main/java/dev/toucanstall/core/plan/HoldRules.java
@@ -129,7 +129,7 @@
       task.unanswered = false;
       task.settledMs = now.steadyMs();
     }
-    if (task.phase == TaskPhase.STOPPING && task.settledMs == 0) {
+    if (task.phase == TaskPhase.STOPPING && !task.stopSent) {
       OrderRules.sendStop(plan, task);
     }
   }
--- a/core/src/main/java/dev/toucanstall/core/plan/OrderRules.java
+++ b/core/src/main/java/dev/toucanstall/core/plan/OrderRules.java
@@ -73,6 +73,7 @@
   static void sendStop(Plan plan, Task task) {
     Server server = task.server;
     if (server != null) {
+      task.stopSent = true;
       plan.emit(new PlanEffect.Stop(server.entry, plan.epoch, task.key, task.run));
     }
   }
--- a/core/src/main/java/dev/toucanstall/core/plan/Placement.java
+++ b/core/src/main/java/dev/toucanstall/core/plan/Placement.java
@@ -14,9 +14,6 @@
 /** Decides which waiting task starts next, and where. */
 final class Placement {
 
-  /** Tasks in a row without room after which a service counts as full. */
-  private static final int FULL_AFTER = 12;
-
   private Placement() {}
 
   static void place(Plan plan, Now now) {
@@ -46,12 +43,7 @@
     Round round = new Round(plan, servers, now);
     List<Job> ordered =
         open.stream().filter(j -> !j.phase.ended()).sorted(order(plan, now)).toList();
-    for (Job job : ordered) {
-      if (round.misses >= FULL_AFTER) {
-        return;
-      }
-      round.place(job);
-    }
+    ordered.forEach(round::place);
   }
 
   /** Lasting work first, then what can still meet its objective, by objective. */
@@ -78,7 +70,9 @@
     final Plan plan;
     final List<Server> servers;
     final Now now;
-    int misses;
+
+    /** Needs for which no backend server has room; larger ones are not looked at again. */
+    final List<Resources> tooLarge = new ArrayList<>();
 
     Round(Plan plan, List<Server> servers, Now now) {
       this.plan = plan;
@@ -113,7 +107,6 @@
         }
         Optional<Server> server = choose(step, task);
         if (server.isEmpty()) {
-          misses++;
           return;
         }
         order(task, server.get());
@@ -136,7 +129,6 @@
         Optional<Server> server =
             withinQuota(task.job, task.step.need()) ? choose(step, task) : Optional.empty();
         if (server.isEmpty()) {
-          misses++;
           ordered.forEach(Task::unbind);
           ordered.forEach(t -> t.phase = TaskPhase.WAITING);
           return;
@@ -163,8 +155,15 @@
     }
 
     private Optional<Server> choose(List<Task> step, Task task) {
-      return servers.stream()
-          .filter(s -> task.step.reserved().fitsInto(s.free()))
+      Resources need = task.step.reserved();
+      if (tooLarge.stream().anyMatch(n -> n.fitsInto(need))) {
+        return Optional.empty();
+      }
+      List<Server> roomy = servers.stream().filter(s -> need.fitsInto(s.free())).toList();
+      if (roomy.isEmpty()) {
+        tooLarge.add(need);
+      }
+      return roomy.stream()
           .filter(s -> allowed(step, task, s))
           .max(Comparator.comparingLong(s -> score(step, task, s)));
     }
--- a/core/src/main/java/dev/toucanstall/core/plan/PlanReducer.java
+++ b/core/src/main/java/dev/toucanstall/core/plan/PlanReducer.java
@@ -9,16 +9,16 @@
 public final class PlanReducer {
 
   /** Length of a lease in milliseconds on the backend server's clock. */
-  static final long LEASE_MS = 7_000;
+  static final long LEASE_MS = 6_000;
 
   /** Latest time for a start to be carried out, in milliseconds on the backend server's clock. */
   static final long START_MS = 2_500;
 
   /** A planner that the store has not confirmed for this long starts nothing, in milliseconds. */
-  static final long START_PERMISSION_MS = 2_500;
+  public static final long START_PERMISSION_MS = 2_500;
 
   /** A planner that the store has not confirmed for this long renews no lease, in milliseconds. */
-  static final long HOLD_PERMISSION_MS = 8_000;
+  static final long HOLD_PERMISSION_MS = 4_000;
 
   private PlanReducer() {}
 
--- a/core/src/main/java/dev/toucanstall/core/plan/Recovery.java
+++ b/core/src/main/java/dev/toucanstall/core/plan/Recovery.java
@@ -67,17 +67,23 @@
       return;
     }
     task.unanswered = true;
+    task.settledMs = now.steadyMs();
     task.orderedMs = now.steadyMs();
     task.bind(plan.servers.computeIfAbsent(line.server(), id -> unseen(id, line, task, now)));
   }
 
+  private static Address address(TaskProgress line) {
+    return line.address().isEmpty() ? NOWHERE : Address.parse(line.address());
+  }
+
   /** A backend server that is known only from a record until it lists itself. */
   private static Server unseen(String id, TaskProgress line, Task task, Now now) {
     ServerEntry entry =
         new ServerEntry(
-            id, line.bornMs(), task.job.service, NOWHERE, "", false, Resources.NONE, Set.of(), 0);
+            id, line.bornMs(), task.job.service, address(line), "", false, Resources.NONE, Set.of(), 0);
     Server server = new Server(entry, now.steadyMs());
     server.unlisted = true;
+    server.silentSinceMs = now.steadyMs();
     server.leasesOutMs = now.steadyMs() + (long) (PREDECESSOR_MS / SLOWEST_CLOCK);
     return server;
   }
--- a/core/src/main/java/dev/toucanstall/core/plan/ServerRules.java
+++ b/core/src/main/java/dev/toucanstall/core/plan/ServerRules.java
@@ -131,7 +131,7 @@
     if (server.holding || now.steadyMs() < server.holdAfterMs) {
       return false;
     }
-    if (server.appliedEnds > server.storedEnds || server.entry.capacity().cpu() == 0) {
+    if (server.appliedEnds > server.storedEnds) {
       return false;
     }
     return !server.known || !server.tasks.isEmpty() || server.storedEnds > server.acknowledgedEnds;
@@ -144,7 +144,8 @@
 
   private static void hold(Plan plan, Server server, Now now) {
     boolean runs = server.tasks.stream().anyMatch(t -> t.phase != TaskPhase.ORDERED || t.sends > 0);
-    long lease = server.tasks.isEmpty() ? 0 : server.lease(PlanReducer.LEASE_MS, now.steadyMs());
+    boolean renews = !server.tasks.isEmpty() && server.silentSinceMs == 0;
+    long lease = renews ? server.lease(PlanReducer.LEASE_MS, now.steadyMs()) : 0;
     long longest = server.tasks.stream().anyMatch(ServerRules::starting) ? SHORT_WAIT_MS : WAIT_MS;
     long wait = server.known && runs && server.silentSinceMs == 0 ? longest : 0;
     server.holding = true;
--- a/core/src/main/java/dev/toucanstall/core/plan/Task.java
+++ b/core/src/main/java/dev/toucanstall/core/plan/Task.java
@@ -23,6 +23,9 @@
   /** Whether a start of this run was sent and not answered, so that it may yet be carried out. */
   boolean unanswered;
 
+  /** Whether a stop of this run was sent in this term. */
+  boolean stopSent;
+
   /** How often the start of this run was sent. */
   int sends;
 
@@ -65,6 +68,7 @@
     server = null;
     unanswered = false;
     sends = 0;
+    stopSent = false;
     percent = 0;
     pace = 100;
   }
@@ -82,6 +86,7 @@
         phase,
         run,
         on == null ? "" : on.entry.id(),
+        on == null ? "" : on.entry.address().toString(),
         on == null ? 0 : on.entry.bornMs(),
         failures,
         saved);
--- a/entry/src/main/java/dev/toucanstall/entry/node/NodeRunner.java
+++ b/entry/src/main/java/dev/toucanstall/entry/node/NodeRunner.java
@@ -90,11 +90,16 @@
       case NodeEffect.AskPeer ask -> planner.ask(ask.planner(), ask.ticket(), ask.call());
       case NodeEffect.AnswerPeer answer ->
           peers.send(answer.link(), new NodeMessage.Reply(answer.number(), answer.answer()));
+      case NodeEffect.AnswerPing answer ->
+          peers.send(answer.link(), new NodeMessage.Pong(answer.plans()));
       case NodeEffect.DeclinePeer decline ->
           peers.send(decline.link(), new NodeMessage.NotPlanner(decline.number()));
       case NodeEffect.Follow follow -> planner.follow(follow.planner());
       case NodeEffect.Elect elect ->
-          Thread.ofPlatform().name("election").daemon().start(this::elect);
+          Thread.ofPlatform()
+              .name("election")
+              .daemon()
+              .start(() -> elect(elect.lastEpoch()));
       case NodeEffect.Announce announce -> {
         parts.watchServers(announce.epoch());
         announce(announce.epoch());
@@ -118,10 +123,10 @@
     return new Leader(epoch, settings.name(), settings.peers());
   }
 
-  private void elect() {
+  private void elect(long lastEpoch) {
     try {
       events.accept(
-          switch (jobs.elect(self(0))) {
+          switch (jobs.elect(self(lastEpoch))) {
             case JobLog.Election.Won won ->
                 new NodeEvent.Elected(won.epoch(), won.nextSequence(), won.records());
             case JobLog.Election.Lost lost -> new NodeEvent.NotElected(lost.why());
--- a/entry/src/main/java/dev/toucanstall/entry/node/PlannerLink.java
+++ b/entry/src/main/java/dev/toucanstall/entry/node/PlannerLink.java
@@ -22,10 +22,10 @@
   private static final Logger LOG = LogManager.getLogger(PlannerLink.class);
   private static final int CONNECT_MILLIS = 500;
 
-  /** The other end answers a ping each 400 ms; after this silence the link is given up. */
+  /** The other end answers a ping each 300 ms; after this silence the link is given up. */
   private static final int SILENT_MILLIS = 1_300;
 
-  private static final long PING_MILLIS = 400;
+  private static final long PING_MILLIS = 300;
   private static final long PAUSE_MILLIS = 200;
 
   private final Consumer<NodeEvent> events;
@@ -67,7 +67,7 @@
       while (!closed) {
         FrameLink current = link;
         if (current != null) {
-          current.offer(JobCodec.MESSAGES.encode(new NodeMessage.Ping(System.nanoTime())));
+          current.offer(JobCodec.MESSAGES.encode(new NodeMessage.Ping()));
         }
         Thread.sleep(PING_MILLIS);
       }
@@ -124,7 +124,8 @@
           events.accept(new NodeEvent.PeerAnswered(reply.number(), reply.answer()));
       case NodeMessage.NotPlanner declined ->
           events.accept(new NodeEvent.PeerDeclined(declined.number()));
-      case NodeMessage.Ping ping -> {}
+      case NodeMessage.Pong pong -> events.accept(new NodeEvent.PeerPonged(pong.plans()));
+      case NodeMessage.Ping ping -> LogLine.of("ping-unexpected").warn(LOG);
       case NodeMessage.Ask ask ->
           LogLine.of("ask-unexpected").with("number", ask.number()).warn(LOG);
     }
--- a/entry/src/main/java/dev/toucanstall/entry/node/PlannerServer.java
+++ b/entry/src/main/java/dev/toucanstall/entry/node/PlannerServer.java
@@ -59,7 +59,7 @@
       socket.setSoTimeout(SILENT_MILLIS);
       FrameLink link = new FrameLink(socket);
       links.put(number, link);
-      link.run(frame -> receive(number, link, frame));
+      link.run(frame -> receive(number, frame));
     } catch (IOException e) {
       LogLine.of("link-failed").with("why", e).warn(LOG);
     } finally {
@@ -67,18 +67,19 @@
     }
   }
 
-  private void receive(long number, FrameLink link, byte[] frame) throws IOException {
+  private void receive(long number, byte[] frame) throws IOException {
     switch (JobCodec.MESSAGES.decode(frame)) {
-      case Decoded.Value<NodeMessage> value -> receive(number, link, value.value(), frame);
+      case Decoded.Value<NodeMessage> value -> receive(number, value.value());
       case Decoded.Malformed<NodeMessage> malformed -> throw new IOException(malformed.why());
     }
   }
 
-  private void receive(long number, FrameLink link, NodeMessage message, byte[] frame) {
+  private void receive(long number, NodeMessage message) {
     switch (message) {
       case NodeMessage.Ask ask ->
           events.accept(new NodeEvent.PeerAsked(number, ask.number(), ask.call()));
-      case NodeMessage.Ping ping -> link.offer(frame);
+      case NodeMessage.Ping ping -> events.accept(new NodeEvent.PeerPinged(number));
+      case NodeMessage.Pong pong -> LogLine.of("pong-unexpected").warn(LOG);
       case NodeMessage.Reply reply ->
           LogLine.of("reply-unexpected").with("number", reply.number()).warn(LOG);
       case NodeMessage.NotPlanner notPlanner ->
