Trial: hurry elections, compact ended jobs, tick less on instances that do not plan

Change: joins 80 ms apart while nobody plans; an ended job is one small record and is forgotten after five minutes; followers tick each 100 ms.

--- a/core/src/main/java/dev/toucanstall/core/job/JobRecord.java
+++ b/core/src/main/java/dev/toucanstall/core/job/JobRecord.java
@@ -36,6 +36,23 @@
     }
   }
 
+  /**
+   * A job has ended and nothing of it is left on backend servers; replaces all its other records.
+   *
+   * @param job the id
+   * @param queue the queue's name
+   * @param phase how it ended
+   * @param endedMs when, Unix milliseconds
+   */
+  record Closed(String job, String queue, JobPhase phase, long endedMs) implements JobRecord {}
+
+  /**
+   * A job that ended long ago is forgotten.
+   *
+   * @param job the id
+   */
+  record Forgotten(String job) implements JobRecord {}
+
   /**
    * How far a maintenance wave is; replaces earlier records of the wave.
    *
--- a/core/src/main/java/dev/toucanstall/core/node/Node.java
+++ b/core/src/main/java/dev/toucanstall/core/node/Node.java
@@ -36,6 +36,9 @@
   /** Whether the planner said lately that it plans and the store confirms it. */
   boolean leaderPlans;
 
+  /** Whether the group is asked more often for want of a planner. */
+  boolean hurried = true;
+
   boolean electing;
   long electAfterMs;
   boolean ready;
--- a/core/src/main/java/dev/toucanstall/core/node/NodeEffect.java
+++ b/core/src/main/java/dev/toucanstall/core/node/NodeEffect.java
@@ -83,6 +83,13 @@
    */
   record OfPlan(long epoch, PlanEffect effect) implements NodeEffect {}
 
+  /**
+   * Ask the group more often, or not, whether this instance should plan.
+   *
+   * @param soon whether a planner is wanted soon
+   */
+  record HurryGroup(boolean soon) implements NodeEffect {}
+
   /** Leave the group, so that another entry instance plans. */
   record LeaveGroup() implements NodeEffect {}
 
--- a/core/src/main/java/dev/toucanstall/core/node/Terms.java
+++ b/core/src/main/java/dev/toucanstall/core/node/Terms.java
@@ -22,10 +22,9 @@
 
   static void joined(Node node, boolean holder, Now now) {
     if (!holder
-        || node.plan != null
+        || planned(node)
         || node.electing
         || node.stopping
-        || (node.leaderReachable && node.leaderPlans)
         || node.catalog == null
         || now.steadyMs() < node.electAfterMs) {
       return;
@@ -36,6 +35,19 @@
     node.emit(new NodeEffect.Elect(known == null ? 0 : known.epoch()));
   }
 
+  /** Tells whether some entry instance plans, as far as this one knows. */
+  private static boolean planned(Node node) {
+    return node.plan != null || (node.leaderReachable && node.leaderPlans);
+  }
+
+  static void updateHurry(Node node) {
+    boolean hurried = !planned(node);
+    if (hurried != node.hurried) {
+      node.hurried = hurried;
+      node.emit(new NodeEffect.HurryGroup(hurried));
+    }
+  }
+
   static boolean plansWell(Node node, Now now) {
     Plan plan = node.plan;
     return plan != null
--- a/core/src/main/java/dev/toucanstall/core/plan/Job.java
+++ b/core/src/main/java/dev/toucanstall/core/plan/Job.java
@@ -93,7 +93,11 @@
     return new JobRecord.Submitted(id, queue, service, account, submittedMs, spec);
   }
 
-  JobRecord.Progress progress() {
+  /** Returns what replaces the earlier records of how far it is. */
+  JobRecord record() {
+    if (phase.ended() && bound == 0) {
+      return new JobRecord.Closed(id, queue, phase, endedMs);
+    }
     return new JobRecord.Progress(
         id, phase, endedMs, tasks().filter(Task::begun).map(Task::progress).toList());
   }
--- a/core/src/main/java/dev/toucanstall/core/plan/JobRules.java
+++ b/core/src/main/java/dev/toucanstall/core/plan/JobRules.java
@@ -2,6 +2,7 @@
 
 import dev.toucanstall.core.job.Catalog;
 import dev.toucanstall.core.job.JobPhase;
+import dev.toucanstall.core.job.JobRecord;
 import dev.toucanstall.core.job.Queue;
 import dev.toucanstall.core.job.StepSpec;
 import dev.toucanstall.core.job.TaskPhase;
@@ -100,5 +101,14 @@
     }
     plan.nextSweepMs = now.steadyMs() + SWEEP_MS;
     plan.openByService.keySet().forEach(plan.dirtyServices::add);
+    List<Job> old =
+        plan.jobs.values().stream()
+            .filter(j -> j.phase.ended() && j.bound == 0)
+            .filter(j -> now.wallMs() - j.endedMs > KEEP_MS)
+            .toList();
+    for (Job job : old) {
+      plan.jobs.remove(job.id);
+      plan.ledger.other(new JobRecord.Forgotten(job.id));
+    }
   }
 }
--- a/core/src/main/java/dev/toucanstall/core/plan/Ledger.java
+++ b/core/src/main/java/dev/toucanstall/core/plan/Ledger.java
@@ -155,7 +155,7 @@
     others.clear();
     submitted.forEach(job -> records.add(job.submitted()));
     submitted.clear();
-    changed.forEach(job -> records.add(job.progress()));
+    changed.forEach(job -> records.add(job.record()));
     changed.clear();
     return records;
   }
--- a/core/src/main/java/dev/toucanstall/core/plan/Recovery.java
+++ b/core/src/main/java/dev/toucanstall/core/plan/Recovery.java
@@ -2,6 +2,7 @@
 
 import dev.toucanstall.core.job.JobRecord;
 import dev.toucanstall.core.job.JobRecord.TaskProgress;
+import dev.toucanstall.core.job.JobSpec;
 import dev.toucanstall.core.job.Resources;
 import dev.toucanstall.core.job.ServerEntry;
 import dev.toucanstall.core.job.TaskKey;
@@ -27,20 +28,29 @@
 
   static void restore(Plan plan, List<JobRecord> records, Now now) {
     for (JobRecord record : records) {
-      if (record instanceof JobRecord.Submitted submitted) {
-        JobRules.add(plan, new Job(plan, submitted));
-      }
-    }
-    for (JobRecord record : records) {
-      if (record instanceof JobRecord.Progress progress) {
-        restore(plan, progress, now);
-      }
-      if (record instanceof JobRecord.WaveProgress progress) {
-        plan.machines.begun(progress.wave()).addAll(progress.begun());
+      switch (record) {
+        case JobRecord.Submitted submitted -> JobRules.add(plan, new Job(plan, submitted));
+        case JobRecord.Closed closed -> restore(plan, closed);
+        case JobRecord.Progress progress -> restore(plan, progress, now);
+        case JobRecord.WaveProgress progress ->
+            plan.machines.begun(progress.wave()).addAll(progress.begun());
+        case JobRecord.Forgotten forgotten -> plan.jobs.remove(forgotten.job());
       }
     }
   }
 
+  private static void restore(Plan plan, JobRecord.Closed closed) {
+    JobSpec nothing = new JobSpec("", List.of(), 1, 0, 0);
+    Job job =
+        new Job(
+            plan,
+            new JobRecord.Submitted(
+                closed.job(), closed.queue(), "", "", closed.endedMs(), nothing));
+    job.phase = closed.phase();
+    job.endedMs = closed.endedMs();
+    plan.jobs.put(job.id, job);
+  }
+
   private static void restore(Plan plan, JobRecord.Progress progress, Now now) {
     Job job = plan.jobs.get(progress.job());
     if (job == null) {
--- a/entry/src/main/java/dev/toucanstall/entry/node/NodeProcess.java
+++ b/entry/src/main/java/dev/toucanstall/entry/node/NodeProcess.java
@@ -46,8 +46,11 @@
 
   private static final Logger LOG = LogManager.getLogger(NodeProcess.class);
 
-  /** Time between two ticks of the control loop. */
-  private static final Duration TICK = Duration.ofMillis(20);
+  /** Time between two ticks of the control loop while this instance plans. */
+  private static final Duration PLANNING_TICK = Duration.ofMillis(20);
+
+  /** Time between two ticks of the control loop otherwise. */
+  private static final Duration TICK = Duration.ofMillis(100);
 
   /** How long a read of the configuration waits for a change, in milliseconds. */
   private static final long CATALOG_WAIT_MS = 1_000;
@@ -104,7 +107,7 @@
             (node, event) -> new Decision<>(node, NodeReducer.reduce(node, event, clock.now())),
             runner,
             (event, e) -> LogLine.of("decision-failed").with("event", event).error(LOG, e),
-            TICK,
+            node -> node.plans() ? PLANNING_TICK : TICK,
             nanos -> new NodeEvent.Tick());
     clients = HttpServers.plain("clients", settings.clients(), handler);
     readiness =
--- a/runtime/src/main/java/dev/toucanstall/runtime/loop/ControlLoop.java
+++ b/runtime/src/main/java/dev/toucanstall/runtime/loop/ControlLoop.java
@@ -6,6 +6,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.BiConsumer;
 import java.util.function.Consumer;
+import java.util.function.Function;
 import java.util.function.LongFunction;
 import org.jspecify.annotations.Nullable;
 
@@ -26,7 +27,7 @@
   private final Consumer<F> interpreter;
   private final BiConsumer<E, RuntimeException> onFailure;
   private final LongFunction<E> tick;
-  private final long tickNanos;
+  private final Function<S, Duration> tickEvery;
   private final Thread thread;
   private volatile boolean closed;
   private volatile long cpuNanos;
@@ -51,11 +52,33 @@
       BiConsumer<E, RuntimeException> onFailure,
       Duration tickEvery,
       LongFunction<E> tick) {
+    this(name, initial, decider, interpreter, onFailure, state -> tickEvery, tick);
+  }
+
+  /**
+   * Creates a loop whose time between ticks depends on its state; {@link #start} starts it.
+   *
+   * @param name the name of its thread
+   * @param initial the first state
+   * @param decider the reducer
+   * @param interpreter carries out effects; must not block for long
+   * @param onFailure told of an event whose decision threw; the state stays as it was
+   * @param tickEvery time between ticks
+   * @param tick makes the event that tells the time
+   */
+  public ControlLoop(
+      String name,
+      S initial,
+      Decider<S, E, F> decider,
+      Consumer<F> interpreter,
+      BiConsumer<E, RuntimeException> onFailure,
+      Function<S, Duration> tickEvery,
+      LongFunction<E> tick) {
     this.state = initial;
     this.decider = decider;
     this.interpreter = interpreter;
     this.onFailure = onFailure;
-    this.tickNanos = tickEvery.toNanos();
+    this.tickEvery = tickEvery;
     this.tick = tick;
     this.thread = new Thread(this::run, name);
   }
@@ -102,7 +125,7 @@
       }
       if (nextTick - System.nanoTime() <= 0) {
         handle(tick.apply(System.nanoTime()));
-        nextTick = System.nanoTime() + tickNanos;
+        nextTick = System.nanoTime() + tickEvery.apply(state).toNanos();
         cpuNanos = ThreadTimes.currentCpuNanos();
       }
     }
