Prove the planner in virtual time; say "not run" only where that is known

Change: a declined call says whether it may have been stored; calls that nobody took are refused at once, calls that were taken wait for the next planner.

--- a/core/src/main/java/dev/toucanstall/core/node/Delivery.java
+++ b/core/src/main/java/dev/toucanstall/core/node/Delivery.java
@@ -13,7 +13,7 @@
 final class Delivery {
 
   /** Longest wait for the planner's answer, in milliseconds. */
-  private static final long LONGEST_WAIT_MS = 2_000;
+  private static final long LONGEST_WAIT_MS = 10_000;
 
   /** Time that an answer needs back to the client, in milliseconds. */
   private static final long WAY_BACK_MS = 200;
@@ -25,17 +25,21 @@
   static void deliver(Node node, long ticket, JobCall call, long waitMs, Now now) {
     long wait = Math.clamp(waitMs - WAY_BACK_MS, SHORTEST_WAIT_MS, LONGEST_WAIT_MS);
     Pending pending = new Pending(call, now.steadyMs() + wait);
-    if (node.plan == null && !(node.leader != null && node.leaderReachable)) {
-      node.note("call-refused", "call", call.toString(), "reason", Reason.NO_PLANNER.name());
-      node.emit(
-          new NodeEffect.Answer(
-              ticket, new JobAnswer.Refused(Reason.NO_PLANNER, Admission.RETRY_AFTER_MS)));
+    if (node.plan == null && !node.leaderReachable && !node.linking) {
+      refuse(node, ticket, call);
       return;
     }
     node.pending.put(ticket, pending);
     send(node, ticket, pending, now);
   }
 
+  private static void refuse(Node node, long ticket, JobCall call) {
+    node.note("call-refused", "call", name(call), "reason", Reason.NO_PLANNER.name());
+    node.emit(
+        new NodeEffect.Answer(
+            ticket, new JobAnswer.Refused(Reason.NO_PLANNER, Admission.RETRY_AFTER_MS)));
+  }
+
   private static void send(Node node, long ticket, Pending pending, Now now) {
     Leader leader = node.leader;
     if (node.plan != null) {
@@ -56,7 +60,7 @@
 
   static void asked(Node node, NodeEvent.PeerAsked asked, Now now) {
     if (node.plan == null) {
-      node.emit(new NodeEffect.DeclinePeer(asked.link(), asked.number()));
+      node.emit(new NodeEffect.DeclinePeer(asked.link(), asked.number(), false));
       return;
     }
     long ticket = node.nextTicket++;
@@ -74,7 +78,7 @@
     }
   }
 
-  static void declined(Node node, long ticket) {
+  static void declined(Node node, long ticket, boolean taken) {
     Pending pending = node.pending.get(ticket);
     if (pending == null) {
       return;
@@ -83,7 +87,12 @@
     if (leader != null && leader.address().equals(pending.asked)) {
       node.leaderReachable = false;
     }
-    pending.asked = null;
+    if (taken || pending.taken) {
+      pending.lose();
+    } else {
+      node.pending.remove(ticket);
+      refuse(node, ticket, pending.call);
+    }
   }
 
   static void linkUp(Node node, Address address, Now now) {
@@ -91,20 +100,38 @@
     if (leader != null && leader.address().equals(address) && !node.leaderReachable) {
       node.note("planner-reachable", "planner", leader.member());
       node.leaderReachable = true;
+      node.linking = false;
       sendWaiting(node, now);
     }
   }
 
   static void linkDown(Node node, NodeEvent.LinkDown down) {
     Leader leader = node.leader;
-    if (leader != null && leader.address().equals(down.address()) && node.leaderReachable) {
-      node.note("planner-unreachable", "planner", leader.member(), "why", down.why());
+    if (leader != null && leader.address().equals(down.address())) {
+      if (node.leaderReachable || node.linking) {
+        node.note("planner-unreachable", "planner", leader.member(), "why", down.why());
+      }
       node.leaderReachable = false;
       node.leaderPlans = false;
+      node.linking = false;
     }
     node.pending.values().stream()
         .filter(p -> down.address().equals(p.asked))
-        .forEach(p -> p.asked = null);
+        .forEach(Pending::lose);
+    if (!node.linking) {
+      refuseUnsent(node);
+    }
+  }
+
+  /** Refuses at once what no planner can have stored, now that none is known. */
+  private static void refuseUnsent(Node node) {
+    List.copyOf(node.pending.entrySet()).stream()
+        .filter(e -> e.getValue().unsent())
+        .forEach(
+            e -> {
+              node.pending.remove(e.getKey());
+              refuse(node, e.getKey(), e.getValue().call);
+            });
   }
 
   /** Ends the wait of calls whose time is up. */
@@ -121,7 +148,7 @@
       node.emit(
           new NodeEffect.Answer(
               entry.getKey(),
-              entry.getValue().changes()
+              entry.getValue().uncertain()
                   ? new JobAnswer.Uncertain()
                   : new JobAnswer.Refused(Reason.NO_PLANNER, Admission.RETRY_AFTER_MS)));
     }
--- a/core/src/main/java/dev/toucanstall/core/node/Node.java
+++ b/core/src/main/java/dev/toucanstall/core/node/Node.java
@@ -33,6 +33,9 @@
 
   boolean leaderReachable;
 
+  /** Whether the link to a planner that was just named is being made. */
+  boolean linking;
+
   /** Whether the planner said lately that it plans and the store confirms it. */
   boolean leaderPlans;
 
--- a/core/src/main/java/dev/toucanstall/core/node/NodeEffect.java
+++ b/core/src/main/java/dev/toucanstall/core/node/NodeEffect.java
@@ -48,8 +48,9 @@
    *
    * @param link the link that the call came by
    * @param number the call
+   * @param taken whether the call may have been stored
    */
-  record DeclinePeer(long link, long number) implements NodeEffect {}
+  record DeclinePeer(long link, long number, boolean taken) implements NodeEffect {}
 
   /**
    * Keep a link to the planner from now on.
--- a/core/src/main/java/dev/toucanstall/core/node/NodeEvent.java
+++ b/core/src/main/java/dev/toucanstall/core/node/NodeEvent.java
@@ -56,11 +56,12 @@
   record PeerAnswered(long ticket, JobAnswer answer) implements NodeEvent {}
 
   /**
-   * The entry instance that was asked does not plan.
+   * The entry instance that was asked does not plan, or there is no link to it.
    *
    * @param ticket the call
+   * @param taken whether the call may have been stored
    */
-  record PeerDeclined(long ticket) implements NodeEvent {}
+  record PeerDeclined(long ticket, boolean taken) implements NodeEvent {}
 
   /**
    * The link to an entry instance works.
--- a/core/src/main/java/dev/toucanstall/core/node/NodeMessage.java
+++ b/core/src/main/java/dev/toucanstall/core/node/NodeMessage.java
@@ -26,8 +26,9 @@
    * Says that the receiver of a call does not plan, or no longer; the call may be asked elsewhere.
    *
    * @param number the call
+   * @param taken whether the call may have been stored
    */
-  record NotPlanner(long number) implements NodeMessage {}
+  record NotPlanner(long number, boolean taken) implements NodeMessage {}
 
   /** Asks whether the receiver plans. */
   record Ping() implements NodeMessage {}
--- a/core/src/main/java/dev/toucanstall/core/node/NodeReducer.java
+++ b/core/src/main/java/dev/toucanstall/core/node/NodeReducer.java
@@ -31,7 +31,8 @@
       case NodeEvent.PeerPonged ponged -> node.leaderPlans = ponged.plans();
       case NodeEvent.PeerAnswered answered ->
           Delivery.answered(node, answered.ticket(), answered.answer());
-      case NodeEvent.PeerDeclined declined -> Delivery.declined(node, declined.ticket());
+      case NodeEvent.PeerDeclined declined ->
+          Delivery.declined(node, declined.ticket(), declined.taken());
       case NodeEvent.LinkUp up -> Delivery.linkUp(node, up.address(), now);
       case NodeEvent.LinkDown down -> Delivery.linkDown(node, down);
       case NodeEvent.CatalogRead read -> FreshnessRules.read(node, read, now);
--- a/core/src/main/java/dev/toucanstall/core/node/Pending.java
+++ b/core/src/main/java/dev/toucanstall/core/node/Pending.java
@@ -16,11 +16,31 @@
   /** Whether it is at this entry instance's own planner. */
   boolean planned;
 
+  /** Whether a planner may have stored it without an answer. */
+  boolean taken;
+
   Pending(JobCall call, long deadlineMs) {
     this.call = call;
     this.deadlineMs = deadlineMs;
   }
 
+  /** The planner that was asked is lost; what it did is unknown. */
+  void lose() {
+    asked = null;
+    planned = false;
+    taken = true;
+  }
+
+  /** Tells whether no planner can have seen it. */
+  boolean unsent() {
+    return asked == null && !planned && !taken;
+  }
+
+  /** Tells whether it may take effect without an answer. */
+  boolean uncertain() {
+    return changes() && (taken || planned || asked != null);
+  }
+
   /** Tells whether a second planner may be asked without a second effect, and must be. */
   boolean changes() {
     return call instanceof JobCall.Submit || call instanceof JobCall.Cancel;
--- a/core/src/main/java/dev/toucanstall/core/node/Terms.java
+++ b/core/src/main/java/dev/toucanstall/core/node/Terms.java
@@ -77,7 +77,7 @@
         Integer.toString(elected.records().size()));
     node.emit(new NodeEffect.Announce(elected.epoch()));
     node.waves.values().forEach(w -> tell(node, new PlanEvent.WaveOrdered(w), now));
-    node.pending.values().forEach(p -> p.asked = null);
+    node.pending.values().stream().filter(p -> p.asked != null).forEach(Pending::lose);
     Delivery.sendWaiting(node, now);
   }
 
@@ -87,7 +87,8 @@
       return;
     }
     node.leader = leader;
-    node.leaderReachable = true;
+    node.leaderReachable = false;
+    node.linking = true;
     node.leaderPlans = false;
     node.note("planner-named", "planner", leader.member(), "epoch", Long.toString(leader.epoch()));
     node.emit(new NodeEffect.Follow(leader.address()));
@@ -95,9 +96,7 @@
     if (plan != null && plan.epoch() < leader.epoch()) {
       resign(node, "the store names planner " + leader.member());
     }
-    node.pending.values().stream()
-        .filter(p -> !leader.address().equals(p.asked))
-        .forEach(p -> p.asked = null);
+    node.pending.values().stream().filter(p -> p.asked != null).forEach(Pending::lose);
     Delivery.sendWaiting(node, now);
   }
 
@@ -139,9 +138,11 @@
     node.note("planner-resigned", "why", why);
     node.plan = null;
     node.emit(new NodeEffect.EndTerm());
-    node.origins.values().forEach(o -> node.emit(new NodeEffect.DeclinePeer(o.link(), o.number())));
+    node.origins
+        .values()
+        .forEach(o -> node.emit(new NodeEffect.DeclinePeer(o.link(), o.number(), true)));
     node.origins.clear();
-    node.pending.values().forEach(p -> p.planned = false);
+    node.pending.values().stream().filter(p -> p.planned).forEach(Pending::lose);
   }
 
   static void stop(Node node, Now now) {
--- a/core/src/main/java/dev/toucanstall/core/plan/Maintenance.java
+++ b/core/src/main/java/dev/toucanstall/core/plan/Maintenance.java
@@ -52,10 +52,7 @@
         read.machines().stream()
             .collect(Collectors.toMap(MachineEntry::name, Function.identity(), (a, b) -> b));
     for (Wave wave : plan.waves.values()) {
-      wave.down
-          .entrySet()
-          .removeIf(
-              e -> e.getValue() < read.askedMs() && isBack(plan, e.getKey()));
+      wave.down.entrySet().removeIf(e -> e.getValue() < read.askedMs() && isBack(plan, e.getKey()));
     }
   }
 
@@ -99,8 +96,7 @@
         wave.ordered.remove(machine);
         wave.foreign.add(machine);
       }
-      case FENCED ->
-          plan.emit(new PlanEffect.Resign("a machine has seen a higher fencing token"));
+      case FENCED -> plan.emit(new PlanEffect.Resign("a machine has seen a higher fencing token"));
       default -> wave.retryAfterMs.put(machine, now.steadyMs() + RETRY_MS);
     }
   }
@@ -133,9 +129,7 @@
       plan.emit(new PlanEffect.ListMachines());
     }
     if (plan.machines.known && plan.listComplete) {
-      plan.waves.values().stream()
-          .filter(w -> !w.completed)
-          .forEach(w -> advance(plan, w, now));
+      plan.waves.values().stream().filter(w -> !w.completed).forEach(w -> advance(plan, w, now));
     }
   }
 
@@ -161,8 +155,7 @@
     wave.completed = true;
     plan.note("wave-completed", "wave", Integer.toString(wave.order.number()));
     plan.ledger.afterStore(
-        (now, out) ->
-            out.accept(new PlanEffect.TellWave(wave.order.number(), true, plan.epoch)));
+        (now, out) -> out.accept(new PlanEffect.TellWave(wave.order.number(), true, plan.epoch)));
   }
 
   private static List<String> left(Plan plan, Wave wave) {
@@ -226,9 +219,10 @@
     boolean busy =
         plan.openByService.getOrDefault(machine.service(), Set.of()).stream()
             .anyMatch(j -> !j.spec.lasting());
-    long total = plan.machines.listed.values().stream()
-        .filter(m -> m.service().equals(machine.service()))
-        .count();
+    long total =
+        plan.machines.listed.values().stream()
+            .filter(m -> m.service().equals(machine.service()))
+            .count();
     long mayBeAway = Math.max(1, total / (busy && !late ? BUSY_POOL_PART : IDLE_POOL_PART));
     return total - working < mayBeAway || (pool.isEmpty() && total > 0);
   }
--- a/core/src/main/java/dev/toucanstall/core/plan/Recovery.java
+++ b/core/src/main/java/dev/toucanstall/core/plan/Recovery.java
@@ -90,7 +90,15 @@
   private static Server unseen(String id, TaskProgress line, Task task, Now now) {
     ServerEntry entry =
         new ServerEntry(
-            id, line.bornMs(), task.job.service, address(line), "", false, Resources.NONE, Set.of(), 0);
+            id,
+            line.bornMs(),
+            task.job.service,
+            address(line),
+            "",
+            false,
+            Resources.NONE,
+            Set.of(),
+            0);
     Server server = new Server(entry, now.steadyMs());
     server.unlisted = true;
     server.silentSinceMs = now.steadyMs();
--- /dev/null
+++ b/core/src/test/java/dev/toucanstall/core/node/NodeTest.java
@@ -0,0 +1,241 @@
+package dev.toucanstall.core.node;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import dev.toucanstall.core.job.Account;
+import dev.toucanstall.core.job.Catalog;
+import dev.toucanstall.core.job.JobAnswer;
+import dev.toucanstall.core.job.JobAnswer.Reason;
+import dev.toucanstall.core.job.JobCall;
+import dev.toucanstall.core.job.JobSpec;
+import dev.toucanstall.core.job.Queue;
+import dev.toucanstall.core.job.Resources;
+import dev.toucanstall.core.job.StepSpec;
+import dev.toucanstall.core.model.Address;
+import dev.toucanstall.core.plan.Now;
+import dev.toucanstall.core.plan.PlanEffect;
+import dev.toucanstall.core.plan.PlanEvent;
+import dev.toucanstall.core.plan.Verdict;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import org.junit.jupiter.api.Test;
+
+/** Calls, freshness and changes of planners, seen from one entry instance. */
+final class NodeTest {
+
+  private static final Address OTHER = new Address("10.0.0.2", 7000);
+  private static final StepSpec STEP =
+      new StepSpec(
+          1,
+          new Resources(1, 1, 0),
+          0,
+          List.of(),
+          false,
+          false,
+          false,
+          "",
+          "",
+          0,
+          false,
+          false,
+          "",
+          0,
+          false,
+          0);
+  private static final String JOB = "0123456789abcdef";
+
+  private final Node node = new Node("n1");
+  private final List<NodeEffect> effects = new ArrayList<>();
+  private long nowMs = 1_000_000;
+  private long wallMs = 5_000_000;
+
+  private void tell(NodeEvent event) {
+    effects.addAll(NodeReducer.reduce(node, event, new Now(nowMs, wallMs)));
+  }
+
+  private void pass(long millis) {
+    nowMs += millis;
+    wallMs += millis;
+    tell(new NodeEvent.Tick());
+  }
+
+  private static Catalog catalog(long version, String key) {
+    Queue queue = new Queue("q", "h", "/q/", "s", 0, 3, 2, 600, false, false);
+    return Catalog.of(
+        version, List.of(queue), List.of(new Account("a", Set.of(key), 1, Resources.NONE)));
+  }
+
+  private void readCatalog(Catalog catalog) {
+    tell(new NodeEvent.CatalogRead(nowMs, catalog));
+  }
+
+  private void call(long ticket, ClientCall.Kind kind, String key, String path) {
+    JobSpec spec = new JobSpec("", List.of(STEP), 1, 0, 0);
+    tell(new NodeEvent.Called(ticket, new ClientCall(kind, "h", path, key, 3_000, spec, "")));
+  }
+
+  private void submit(long ticket) {
+    call(ticket, ClientCall.Kind.SUBMIT, "key", "/q/" + JOB);
+  }
+
+  private Optional<JobAnswer> answer(long ticket) {
+    return effects.stream()
+        .filter(e -> e instanceof NodeEffect.Answer a && a.ticket() == ticket)
+        .map(e -> ((NodeEffect.Answer) e).answer())
+        .findFirst();
+  }
+
+  private void followOther(long epoch) {
+    tell(new NodeEvent.LeaderRead(new Leader(epoch, "n2", OTHER)));
+    tell(new NodeEvent.LinkUp(OTHER));
+  }
+
+  private static JobAnswer refused(Reason reason, long retryAfterMs) {
+    return new JobAnswer.Refused(reason, retryAfterMs);
+  }
+
+  private boolean asked(long ticket) {
+    return effects.stream()
+        .anyMatch(e -> e instanceof NodeEffect.AskPeer a && a.ticket() == ticket);
+  }
+
+  @Test
+  void callWithoutConfigurationIsRefusedAtOnce() {
+    submit(1);
+    assertThat(answer(1)).hasValue(refused(Reason.NOT_FRESH, 1_000));
+  }
+
+  @Test
+  void callWithoutPlannerIsToldWhenToComeBack() {
+    readCatalog(catalog(1, "key"));
+    submit(1);
+    assertThat(answer(1)).hasValue(refused(Reason.NO_PLANNER, 1_000));
+  }
+
+  @Test
+  void unknownQueueKeyAndIdAreTold() {
+    readCatalog(catalog(1, "key"));
+    followOther(1);
+    call(1, ClientCall.Kind.SHOW, "key", "/nowhere/" + JOB);
+    call(2, ClientCall.Kind.SHOW, "wrong", "/q/" + JOB);
+    call(3, ClientCall.Kind.SHOW, "key", "/q/short");
+    assertThat(answer(1)).hasValue(refused(Reason.QUEUE_UNKNOWN, 0));
+    assertThat(answer(2)).hasValue(refused(Reason.KEY_UNKNOWN, 0));
+    assertThat(answer(3)).hasValue(refused(Reason.MALFORMED, 0));
+  }
+
+  @Test
+  void withdrawnKeyIsDeadOnAnInstanceThatTheStoreRefuses() {
+    readCatalog(catalog(1, "key"));
+    followOther(1);
+    pass(3_400);
+    submit(1);
+    assertThat(asked(1)).isTrue();
+    pass(200);
+    submit(2);
+    assertThat(answer(2)).hasValue(refused(Reason.NOT_FRESH, 1_000));
+    assertThat(effects).contains(new NodeEffect.SetReady(false));
+  }
+
+  @Test
+  void freshnessCountsFromTheQuestionNotTheAnswer() {
+    readCatalog(catalog(1, "key"));
+    followOther(1);
+    long asked = nowMs;
+    pass(3_000);
+    tell(new NodeEvent.CatalogRead(asked, null));
+    pass(600);
+    submit(1);
+    assertThat(answer(1)).hasValue(refused(Reason.NOT_FRESH, 1_000));
+  }
+
+  @Test
+  void suspendedMachineTrustsNothingThatItKnew() {
+    readCatalog(catalog(1, "key"));
+    followOther(1);
+    wallMs += 4_000;
+    submit(1);
+    assertThat(answer(1)).hasValue(refused(Reason.NOT_FRESH, 1_000));
+  }
+
+  @Test
+  void olderConfigurationNeverReplacesNewerOne() {
+    readCatalog(catalog(2, "new"));
+    readCatalog(catalog(1, "key"));
+    followOther(1);
+    submit(1);
+    assertThat(answer(1)).hasValue(refused(Reason.KEY_UNKNOWN, 0));
+  }
+
+  @Test
+  void callWhosePlannerIsLostGoesToTheNext() {
+    readCatalog(catalog(1, "key"));
+    followOther(1);
+    submit(1);
+    tell(new NodeEvent.LinkDown(OTHER, "reset"));
+    assertThat(answer(1)).isEmpty();
+    Address next = new Address("10.0.0.3", 7000);
+    tell(new NodeEvent.LeaderRead(new Leader(2, "n3", next)));
+    tell(new NodeEvent.LinkUp(next));
+    assertThat(effects)
+        .contains(
+            new NodeEffect.AskPeer(
+                next,
+                1,
+                new JobCall.Submit(JOB, "q", "a", new JobSpec("", List.of(STEP), 1, 0, 0))));
+  }
+
+  @Test
+  void callThatMayHaveBeenStoredIsNeverCalledNotRun() {
+    readCatalog(catalog(1, "key"));
+    followOther(1);
+    submit(1);
+    tell(new NodeEvent.LinkDown(OTHER, "reset"));
+    pass(3_000);
+    assertThat(answer(1)).hasValue(new JobAnswer.Uncertain());
+  }
+
+  @Test
+  void callThatNoPlannerTookIsRefusedAtOnce() {
+    readCatalog(catalog(1, "key"));
+    followOther(1);
+    submit(1);
+    tell(new NodeEvent.PeerDeclined(1, false));
+    assertThat(answer(1)).hasValue(refused(Reason.NO_PLANNER, 1_000));
+  }
+
+  @Test
+  void holderElectsItselfOnlyWhileThePlannerIsUnfit() {
+    readCatalog(catalog(1, "key"));
+    followOther(1);
+    tell(new NodeEvent.PeerPonged(true));
+    tell(new NodeEvent.Joined(true));
+    assertThat(effects).doesNotContain(new NodeEffect.Elect(1));
+    tell(new NodeEvent.PeerPonged(false));
+    tell(new NodeEvent.Joined(true));
+    assertThat(effects).contains(new NodeEffect.Elect(1));
+  }
+
+  @Test
+  void plannerThatIsReplacedDeclinesWhatItTook() {
+    readCatalog(catalog(1, "key"));
+    tell(new NodeEvent.Joined(true));
+    tell(new NodeEvent.Elected(1, 7, List.of()));
+    JobSpec spec = new JobSpec("", List.of(STEP), 1, 0, 0);
+    tell(new NodeEvent.PeerAsked(4, 9, new JobCall.Submit(JOB, "q", "a", spec)));
+    pass(20);
+    PlanEffect.Append append =
+        effects.stream()
+            .filter(
+                e -> e instanceof NodeEffect.OfPlan p && p.effect() instanceof PlanEffect.Append)
+            .map(e -> (PlanEffect.Append) ((NodeEffect.OfPlan) e).effect())
+            .findFirst()
+            .orElseThrow();
+    tell(
+        new NodeEvent.ForPlan(1, new PlanEvent.Appended(append.sequence(), nowMs, Verdict.FENCED)));
+    assertThat(effects).contains(new NodeEffect.DeclinePeer(4, 9, true));
+    assertThat(node.plans()).isFalse();
+  }
+}
--- /dev/null
+++ b/core/src/test/java/dev/toucanstall/core/plan/FakeServer.java
@@ -0,0 +1,166 @@
+package dev.toucanstall.core.plan;
+
+import dev.toucanstall.core.job.Resources;
+import dev.toucanstall.core.job.RunningTask;
+import dev.toucanstall.core.job.ServerEntry;
+import dev.toucanstall.core.job.StepSpec;
+import dev.toucanstall.core.job.TaskEnd;
+import dev.toucanstall.core.job.TaskKey;
+import dev.toucanstall.core.model.Address;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+
+/** A backend server in a test: fences, leases, runs and ends as the platform's page tells them. */
+final class FakeServer {
+
+  private static final long LONGEST_HOLD_MS = 10_000;
+
+  /** A run that is present. */
+  record Run(long run, long startedMs, long endsMs) {}
+
+  final String id;
+  final String service;
+  final Resources capacity;
+  final long bornMs;
+  final Map<TaskKey, Run> running = new LinkedHashMap<>();
+  final List<TaskEnd> ended = new ArrayList<>();
+  final Map<TaskKey, Long> over = new HashMap<>();
+  boolean up = true;
+  boolean reachable = true;
+  boolean draining;
+  long fence;
+  long leaseMs;
+  long ends;
+  long lapsedMs;
+  private final Map<Long, Long> endedMs = new HashMap<>();
+
+  /** Told of each start, to check promises. */
+  interface Observer {
+
+    /** A run begins. */
+    void started(FakeServer server, TaskKey task, long run, long nowMs);
+
+    /** A run is over. */
+    void over(FakeServer server, TaskKey task, long run, TaskEnd.How how);
+
+    /** An end was taken note of; tells whether the lease had run out since. */
+    void noted(TaskEnd end, long endedMs, boolean lapsed);
+  }
+
+  private final Observer observer;
+
+  FakeServer(String id, String service, Resources capacity, long bornMs, Observer observer) {
+    this.id = id;
+    this.service = service;
+    this.capacity = capacity;
+    this.bornMs = bornMs;
+    this.observer = observer;
+  }
+
+  ServerEntry entry(long nowMs) {
+    int port = 1 + Math.floorMod(id.hashCode(), 60_000);
+    return new ServerEntry(
+        id,
+        bornMs,
+        service,
+        new Address("10.0.0.1", port),
+        "dc",
+        draining,
+        capacity,
+        Set.of(),
+        nowMs);
+  }
+
+  /** Ends what is due and, if the lease has run out, all the rest. */
+  void pass(long nowMs) {
+    List<TaskKey> due =
+        running.entrySet().stream()
+            .filter(e -> e.getValue().endsMs() <= nowMs)
+            .map(Map.Entry::getKey)
+            .toList();
+    due.forEach(task -> end(task, TaskEnd.How.DONE, nowMs));
+    if (nowMs > leaseMs) {
+      lapsedMs = nowMs;
+      List.copyOf(running.keySet()).forEach(task -> end(task, TaskEnd.How.LAPSED, nowMs));
+    }
+  }
+
+  void end(TaskKey task, TaskEnd.How how, long nowMs) {
+    Run run = running.remove(task);
+    if (run == null) {
+      return;
+    }
+    over.merge(task, run.run(), Math::max);
+    endedMs.put(ends + 1, nowMs);
+    ended.add(new TaskEnd(++ends, task, run.run(), how, ""));
+    observer.over(this, task, run.run(), how);
+  }
+
+  void crash() {
+    up = false;
+    running.forEach((task, run) -> observer.over(this, task, run.run(), TaskEnd.How.LAPSED));
+    running.clear();
+  }
+
+  OrderResult start(PlanEffect.Start start, StepSpec step, long lengthMs, long nowMs) {
+    if (start.fence() < fence) {
+      return new OrderResult.Rejected(OrderResult.Reason.FENCED, nowMs);
+    }
+    fence = start.fence();
+    Run present = running.get(start.task());
+    if (present != null && present.run() == start.run()) {
+      return new OrderResult.Obeyed(nowMs);
+    }
+    if (start.untilMs() < nowMs) {
+      return new OrderResult.Rejected(OrderResult.Reason.LATE, nowMs);
+    }
+    if (present != null || over.getOrDefault(start.task(), 0L) >= start.run()) {
+      return new OrderResult.Rejected(OrderResult.Reason.OLD, nowMs);
+    }
+    leaseMs = Math.max(leaseMs, Math.min(start.untilMs(), nowMs + LONGEST_HOLD_MS));
+    long end = step.lasting() ? Long.MAX_VALUE : nowMs + lengthMs;
+    running.put(start.task(), new Run(start.run(), nowMs, end));
+    observer.started(this, start.task(), start.run(), nowMs);
+    return new OrderResult.Obeyed(nowMs);
+  }
+
+  OrderResult stop(PlanEffect.Stop stop, long nowMs) {
+    if (stop.fence() < fence) {
+      return new OrderResult.Rejected(OrderResult.Reason.FENCED, nowMs);
+    }
+    fence = stop.fence();
+    over.merge(stop.task(), stop.run(), Math::max);
+    Run present = running.get(stop.task());
+    if (present != null && present.run() <= stop.run()) {
+      end(stop.task(), TaskEnd.How.STOPPED, nowMs);
+    }
+    return new OrderResult.Obeyed(nowMs);
+  }
+
+  private long at(TaskEnd end) {
+    return endedMs.getOrDefault(end.number(), 0L);
+  }
+
+  HoldResult hold(PlanEffect.Hold hold, long nowMs) {
+    if (hold.fence() < fence) {
+      return new HoldResult.Failed(new OrderResult.Rejected(OrderResult.Reason.FENCED, nowMs));
+    }
+    fence = hold.fence();
+    if (hold.leaseUntilMs() > 0) {
+      leaseMs = Math.max(leaseMs, Math.min(hold.leaseUntilMs(), nowMs + LONGEST_HOLD_MS));
+    }
+    ended.stream()
+        .filter(end -> end.number() <= hold.acknowledged())
+        .forEach(end -> observer.noted(end, at(end), lapsedMs > at(end)));
+    ended.removeIf(end -> end.number() <= hold.acknowledged());
+    List<RunningTask> rows =
+        running.entrySet().stream()
+            .map(e -> new RunningTask(e.getKey(), e.getValue().run(), "", 100, 0))
+            .toList();
+    return new HoldResult.Listed(nowMs, rows, List.copyOf(ended));
+  }
+}
--- /dev/null
+++ b/core/src/test/java/dev/toucanstall/core/plan/PlanTest.java
@@ -0,0 +1,253 @@
+package dev.toucanstall.core.plan;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import dev.toucanstall.core.job.JobAnswer;
+import dev.toucanstall.core.job.JobCall;
+import dev.toucanstall.core.job.JobPhase;
+import dev.toucanstall.core.job.JobSpec;
+import dev.toucanstall.core.job.Resources;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+/** Each test is named for the pattern of load or failure that it brings about. */
+final class PlanTest {
+
+  private static JobAnswer show(PlanWorld world, String job) {
+    final long ticket = world.call(new JobCall.Show(job, PlanWorld.QUEUE));
+    world.run(100);
+    return world.answers.getOrDefault(ticket, new JobAnswer.Uncertain());
+  }
+
+  private static long runningOf(PlanWorld world, String job) {
+    return world.servers.values().stream()
+        .filter(s -> s.up)
+        .flatMap(s -> s.running.keySet().stream())
+        .filter(t -> t.job().equals(job))
+        .count();
+  }
+
+  @Test
+  void calmJobRunsItsStepsInOrder() {
+    PlanWorld world = new PlanWorld(1);
+    world.server("w1", 10_000);
+    world.server("w2", 10_000);
+    world.elect();
+    world.run(200);
+    final long ticket = world.submit("j", PlanWorld.step(4, 1_000), PlanWorld.step(3, 1_000, 0));
+    world.run(2_000);
+    assertThat(world.answers.get(ticket)).isEqualTo(new JobAnswer.Accepted());
+    assertThat(show(world, "j")).isEqualTo(new JobAnswer.Shown(JobPhase.COMPLETED));
+    assertThat(world.done).hasSize(7);
+    assertThat(world.broken).isEmpty();
+  }
+
+  @Test
+  void startGoesOutOnlyOnceItsIntentIsStored() {
+    PlanWorld world = new PlanWorld(1);
+    world.server("w1", 10_000);
+    world.elect();
+    world.run(200);
+    world.storeUp = false;
+    final long ticket = world.submit("j", PlanWorld.step(1, 1_000));
+    world.run(400);
+    assertThat(world.answers).doesNotContainKey(ticket);
+    assertThat(world.seen.stream().anyMatch(e -> e instanceof PlanEffect.Start)).isFalse();
+  }
+
+  @Test
+  void submissionIsRefusedAtOnceWhileTheStoreIsOut() {
+    PlanWorld world = new PlanWorld(1);
+    world.elect();
+    world.run(200);
+    world.storeUp = false;
+    world.submit("first", PlanWorld.step(1, 1_000));
+    world.run(100);
+    long waiting = world.submit("second", PlanWorld.step(1, 1_000));
+    world.run(2_500);
+    assertThat(world.answers.get(waiting)).isInstanceOf(JobAnswer.Refused.class);
+    long later = world.submit("third", PlanWorld.step(1, 1_000));
+    assertThat(world.answers.get(later)).isInstanceOf(JobAnswer.Refused.class);
+    world.storeUp = true;
+    world.run(2_000);
+    assertThat(show(world, "second")).isEqualTo(new JobAnswer.Absent());
+  }
+
+  @Test
+  void lostAnswerOfTheStoreStoresOneJob() {
+    PlanWorld world = new PlanWorld(3);
+    world.server("w1", 10_000);
+    world.elect();
+    world.run(200);
+    world.lost = 1;
+    final long ticket = world.submit("j", PlanWorld.step(1, 1_000));
+    world.run(50);
+    world.lost = 0;
+    world.run(3_000);
+    assertThat(world.answers.get(ticket)).isEqualTo(new JobAnswer.Accepted());
+    assertThat(show(world, "j")).isEqualTo(new JobAnswer.Shown(JobPhase.COMPLETED));
+    assertThat(world.broken).isEmpty();
+  }
+
+  @Test
+  void queueGoesOnPastTasksWithoutRoom() {
+    PlanWorld world = new PlanWorld(1);
+    world.server("w1", 10_000);
+    world.elect();
+    world.run(200);
+    for (int i = 0; i < 20; i++) {
+      world.submit("apart" + i, PlanWorld.lasting(2, 10, 1));
+    }
+    world.submit("short", PlanWorld.step(2, 1_000));
+    world.run(3_000);
+    assertThat(show(world, "short")).isEqualTo(new JobAnswer.Shown(JobPhase.COMPLETED));
+  }
+
+  @Test
+  void silentServerLosesItsTasksOnceItsLeasesAreOut() {
+    PlanWorld world = new PlanWorld(1);
+    final FakeServer dark = world.server("w1", 10_000);
+    world.elect();
+    world.run(200);
+    world.submit("j", PlanWorld.lasting(3, 1_000, 0));
+    world.run(1_000);
+    assertThat(dark.running).hasSize(3);
+    dark.reachable = false;
+    world.server("w2", 10_000);
+    world.run(10_000);
+    assertThat(world.get("w2").running).hasSize(3);
+    assertThat(world.broken).isEmpty();
+  }
+
+  @Test
+  void refusedConnectionFreesTasksAtOnce() {
+    PlanWorld world = new PlanWorld(1);
+    final FakeServer crashed = world.server("w1", 10_000);
+    world.elect();
+    world.run(200);
+    world.submit("j", PlanWorld.lasting(3, 1_000, 0));
+    world.run(1_000);
+    crashed.crash();
+    world.server("w2", 10_000);
+    world.run(1_500);
+    assertThat(runningOf(world, "j")).isEqualTo(3);
+    assertThat(world.broken).isEmpty();
+  }
+
+  @Test
+  void serverThatEndedDuringChangeOfPlannersKeepsNoTask() {
+    PlanWorld world = new PlanWorld(1);
+    final FakeServer gone = world.server("w1", 10_000);
+    final PlanWorld.Planner first = world.elect();
+    world.run(200);
+    world.submit("j", PlanWorld.lasting(3, 1_000, 0));
+    world.run(1_000);
+    first.alive = false;
+    gone.reachable = false;
+    world.run(1_000);
+    gone.crash();
+    world.servers.remove("w1");
+    world.server("w2", 10_000);
+    world.elect();
+    world.run(12_000);
+    assertThat(world.get("w2").running).hasSize(3);
+    assertThat(world.broken).isEmpty();
+  }
+
+  @Test
+  void newPlannerGoesOnWithWhatRuns() {
+    PlanWorld world = new PlanWorld(1);
+    final FakeServer server = world.server("w1", 10_000);
+    final PlanWorld.Planner first = world.elect();
+    world.run(200);
+    world.submit("j", PlanWorld.lasting(3, 1_000, 0));
+    world.run(1_000);
+    first.alive = false;
+    world.run(2_000);
+    world.elect();
+    world.run(10_000);
+    assertThat(server.running.values().stream().allMatch(r -> r.run() == 1)).isTrue();
+    assertThat(server.running).hasSize(3);
+    assertThat(world.broken).isEmpty();
+  }
+
+  @Test
+  void oldPlannerThatWakesOrdersNothing() {
+    PlanWorld world = new PlanWorld(1);
+    world.server("w1", 10_000);
+    final PlanWorld.Planner first = world.elect();
+    world.run(200);
+    world.submit("j", PlanWorld.step(3, 1_000));
+    world.run(20);
+    first.alive = false;
+    world.run(3_000);
+    world.elect();
+    world.run(500);
+    first.alive = true;
+    first.tell(
+        new PlanEvent.Called(
+            99,
+            new JobCall.Submit(
+                "k",
+                PlanWorld.QUEUE,
+                PlanWorld.ACCOUNT,
+                new JobSpec("", List.of(PlanWorld.step(1, 1)), 1, 0, 0))));
+    world.run(3_000);
+    assertThat(first.alive).isFalse();
+    assertThat(show(world, "k")).isEqualTo(new JobAnswer.Absent());
+    assertThat(world.broken).isEmpty();
+  }
+
+  @Test
+  void cancelledJobIsGoneAndStaysCancelledForTheNextPlanner() {
+    PlanWorld world = new PlanWorld(1);
+    final FakeServer server = world.server("w1", 10_000);
+    final PlanWorld.Planner first = world.elect();
+    world.run(200);
+    world.submit("j", PlanWorld.lasting(3, 1_000, 0));
+    world.run(1_000);
+    final long ticket = world.call(new JobCall.Cancel("j", PlanWorld.QUEUE));
+    world.run(500);
+    assertThat(world.answers.get(ticket)).isEqualTo(new JobAnswer.Cancelled());
+    assertThat(server.running).isEmpty();
+    first.alive = false;
+    world.elect();
+    world.run(1_000);
+    assertThat(show(world, "j")).isEqualTo(new JobAnswer.Shown(JobPhase.CANCELLED));
+    assertThat(server.running).isEmpty();
+  }
+
+  @Test
+  void quotaOfAnAccountHoldsAcrossServers() {
+    PlanWorld world = new PlanWorld(1);
+    world.quota = new Resources(4_000, 0, 0);
+    world.server("w1", 10_000);
+    world.server("w2", 10_000);
+    world.elect();
+    world.run(200);
+    world.submit("j", PlanWorld.step(12, 1_000));
+    world.run(3_000);
+    assertThat(show(world, "j")).isEqualTo(new JobAnswer.Shown(JobPhase.COMPLETED));
+    assertThat(world.broken).isEmpty();
+  }
+
+  @Test
+  void lateOrdersNeverMakeTwoRuns() {
+    PlanWorld world = new PlanWorld(5);
+    world.server("w1", 10_000);
+    world.server("w2", 10_000);
+    world.elect();
+    world.run(200);
+    world.late = 0.4;
+    for (int i = 0; i < 20; i++) {
+      world.submit("j" + i, PlanWorld.step(3, 500), PlanWorld.step(2, 500, 0));
+      world.run(200);
+    }
+    world.late = 0;
+    world.run(20_000);
+    for (int i = 0; i < 20; i++) {
+      assertThat(show(world, "j" + i)).isEqualTo(new JobAnswer.Shown(JobPhase.COMPLETED));
+    }
+    assertThat(world.broken).isEmpty();
+  }
+}
--- /dev/null
+++ b/core/src/test/java/dev/toucanstall/core/plan/PlanWorld.java
@@ -0,0 +1,436 @@
+package dev.toucanstall.core.plan;
+
+import dev.toucanstall.core.job.Account;
+import dev.toucanstall.core.job.Catalog;
+import dev.toucanstall.core.job.JobAnswer;
+import dev.toucanstall.core.job.JobCall;
+import dev.toucanstall.core.job.JobRecord;
+import dev.toucanstall.core.job.JobSpec;
+import dev.toucanstall.core.job.Queue;
+import dev.toucanstall.core.job.Resources;
+import dev.toucanstall.core.job.StepSpec;
+import dev.toucanstall.core.job.TaskEnd;
+import dev.toucanstall.core.job.TaskKey;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Objects;
+import java.util.PriorityQueue;
+import java.util.Random;
+import java.util.Set;
+import java.util.stream.Stream;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Planners, the store and backend servers in virtual time: every call can be lost, late or refused.
+ * Checks the promises about runs as they happen.
+ */
+final class PlanWorld implements FakeServer.Observer {
+
+  static final String SERVICE = "s";
+  static final String QUEUE = "q";
+  static final String ACCOUNT = "a";
+
+  private static final long TICK_MS = 20;
+  private static final long BEAT_MS = 500;
+
+  /** A planner during one term. */
+  final class Planner {
+
+    final Plan plan;
+    boolean alive = true;
+
+    Planner(Plan plan) {
+      this.plan = plan;
+    }
+
+    void tell(PlanEvent event) {
+      if (alive) {
+        PlanReducer.reduce(plan, event, now()).forEach(effect -> carryOut(this, effect));
+      }
+    }
+  }
+
+  private record Due(long atMs, long number, Runnable action) implements Comparable<Due> {
+
+    @Override
+    public int compareTo(Due other) {
+      return atMs == other.atMs
+          ? Long.compare(number, other.number)
+          : Long.compare(atMs, other.atMs);
+    }
+  }
+
+  final Random random;
+  final Map<String, JobRecord> stored = new LinkedHashMap<>();
+  final Map<String, FakeServer> servers = new LinkedHashMap<>();
+  final Map<Long, JobAnswer> answers = new HashMap<>();
+  final List<PlanEffect> seen = new ArrayList<>();
+  final List<String> broken = new ArrayList<>();
+  final Map<TaskKey, Integer> present = new HashMap<>();
+  final Map<TaskKey, Long> lastStart = new HashMap<>();
+  final Set<TaskKey> noted = new HashSet<>();
+  final Set<TaskKey> done = new HashSet<>();
+  Resources quota = Resources.NONE;
+  double lost;
+  double late;
+  long taskMs = 300;
+  boolean storeUp = true;
+  long fencedBelow;
+  long lastSequence = -1;
+  @Nullable Planner planner;
+  private final PriorityQueue<Due> due = new PriorityQueue<>();
+  private long nowMs = 1_000_000;
+  private long numbers;
+  private long tickets;
+
+  PlanWorld(long seed) {
+    random = new Random(seed);
+    at(0, this::tick);
+    at(0, this::beat);
+  }
+
+  Now now() {
+    return new Now(nowMs, nowMs);
+  }
+
+  Catalog catalog() {
+    Queue queue = new Queue(QUEUE, "h", "/q/", SERVICE, 0, 3, 2, 600, false, false);
+    Account account = new Account(ACCOUNT, Set.of("key"), 1, quota);
+    return Catalog.of(1, List.of(queue), List.of(account));
+  }
+
+  void at(long inMs, Runnable action) {
+    due.add(new Due(nowMs + inMs, numbers++, action));
+  }
+
+  void run(long forMs) {
+    long until = nowMs + forMs;
+    while (!due.isEmpty() && due.peek().atMs() <= until) {
+      Due next = due.poll();
+      nowMs = Math.max(nowMs, next.atMs());
+      next.action().run();
+    }
+    nowMs = until;
+  }
+
+  private void tick() {
+    servers.values().stream().filter(s -> s.up).forEach(s -> s.pass(nowMs));
+    tell(new PlanEvent.Tick());
+    at(TICK_MS, this::tick);
+  }
+
+  private void beat() {
+    tell(
+        new PlanEvent.ServersRead(
+            servers.values().stream()
+                .filter(s -> s.up && s.reachable)
+                .map(s -> s.entry(nowMs))
+                .toList(),
+            servers.values().stream().filter(s -> !s.up).map(s -> s.id).toList(),
+            false));
+    at(BEAT_MS, this::beat);
+  }
+
+  void tell(PlanEvent event) {
+    Planner current = planner;
+    if (current != null) {
+      current.tell(event);
+    }
+  }
+
+  FakeServer server(String id, long cpu) {
+    FakeServer server = new FakeServer(id, SERVICE, new Resources(cpu, 1_000_000, 0), nowMs, this);
+    servers.put(id, server);
+    return server;
+  }
+
+  /**
+   * A new planner takes over with the next epoch; the old one, if alive, is fenced at the store.
+   */
+  Planner elect() {
+    fencedBelow++;
+    lastSequence = 0;
+    List<JobRecord> records =
+        Stream.concat(
+                stored.values().stream().filter(r -> r instanceof JobRecord.Submitted),
+                stored.values().stream().filter(r -> !(r instanceof JobRecord.Submitted)))
+            .toList();
+    Planner next = new Planner(new Plan(fencedBelow, 1, catalog(), records, now()));
+    planner = next;
+    next.tell(
+        new PlanEvent.ServersRead(
+            servers.values().stream()
+                .filter(s -> s.up && s.reachable)
+                .map(s -> s.entry(nowMs))
+                .toList(),
+            List.of(),
+            true));
+    return next;
+  }
+
+  long call(JobCall call) {
+    long ticket = ++tickets;
+    tell(new PlanEvent.Called(ticket, call));
+    return ticket;
+  }
+
+  long submit(String job, StepSpec... steps) {
+    JobSpec spec = new JobSpec("text", List.of(steps), 1, 0, 0);
+    return call(new JobCall.Submit(job, QUEUE, ACCOUNT, spec));
+  }
+
+  static StepSpec step(int count, long cpu, Integer... after) {
+    return new StepSpec(
+        count,
+        new Resources(cpu, 100, 0),
+        300,
+        List.of(after),
+        false,
+        false,
+        false,
+        "",
+        "",
+        0,
+        false,
+        false,
+        "",
+        0,
+        false,
+        0);
+  }
+
+  static StepSpec lasting(int count, long cpu, int perServer) {
+    return new StepSpec(
+        count,
+        new Resources(cpu, 100, 0),
+        0,
+        List.of(),
+        false,
+        false,
+        false,
+        "",
+        "",
+        perServer,
+        false,
+        true,
+        "",
+        0,
+        false,
+        1);
+  }
+
+  private void carryOut(Planner from, PlanEffect effect) {
+    seen.add(effect);
+    switch (effect) {
+      case PlanEffect.Answer answer -> answers.put(answer.ticket(), answer.answer());
+      case PlanEffect.Append append -> at(delay(), () -> append(from, append, nowMs));
+      case PlanEffect.Start start -> order(from, start);
+      case PlanEffect.Stop stop -> order(from, stop);
+      case PlanEffect.Hold hold -> order(from, hold);
+      case PlanEffect.Resign resign -> from.alive = false;
+      default -> {}
+    }
+  }
+
+  private long delay() {
+    return 1 + random.nextInt(5);
+  }
+
+  private void append(Planner from, PlanEffect.Append append, long sentMs) {
+    Verdict verdict = storeUp ? store(append) : Verdict.NOT_DONE;
+    boolean answerLost = verdict == Verdict.DONE && random.nextDouble() < lost;
+    at(
+        answerLost ? 1_000 : delay(),
+        () ->
+            from.tell(
+                new PlanEvent.Appended(
+                    append.sequence(), sentMs, answerLost ? Verdict.MAYBE : verdict)));
+  }
+
+  private Verdict store(PlanEffect.Append append) {
+    if (append.epoch() < fencedBelow) {
+      return Verdict.FENCED;
+    }
+    if (append.records().isEmpty() || append.sequence() == lastSequence) {
+      return Verdict.DONE;
+    }
+    lastSequence = append.sequence();
+    append.records().forEach(this::store);
+    return Verdict.DONE;
+  }
+
+  private void store(JobRecord record) {
+    switch (record) {
+      case JobRecord.Submitted s -> stored.put("s/" + s.job(), s);
+      case JobRecord.Progress p -> stored.put("p/" + p.job(), p);
+      case JobRecord.Closed c -> {
+        stored.remove("s/" + c.job());
+        stored.put("p/" + c.job(), c);
+      }
+      case JobRecord.Forgotten f -> stored.remove("p/" + f.job());
+      case JobRecord.WaveProgress w -> stored.put("w/" + w.wave(), w);
+    }
+  }
+
+  private void order(Planner from, PlanEffect effect) {
+    boolean isLate = random.nextDouble() < late;
+    long arrives = isLate ? 2_000 + random.nextInt(6_000) : delay();
+    boolean answerLost = isLate || random.nextDouble() < lost;
+    at(arrives, () -> arrive(from, effect, answerLost, nowMs));
+    if (isLate) {
+      at(700, () -> from.tell(answer(effect, new OrderResult.Unanswered(), nowMs - 700)));
+    }
+  }
+
+  private void arrive(Planner from, PlanEffect effect, boolean answerLost, long arrivedMs) {
+    FakeServer server = servers.get(serverOf(effect));
+    OrderResult none = new OrderResult.Unanswered();
+    if (server == null || !server.reachable) {
+      at(700, () -> from.tell(answer(effect, none, arrivedMs)));
+    } else if (!server.up) {
+      at(delay(), () -> from.tell(answer(effect, new OrderResult.ConnectionRefused(), arrivedMs)));
+    } else if (server.bornMs != bornOf(effect)) {
+      at(delay(), () -> from.tell(answer(effect, new OrderResult.OtherLife(), arrivedMs)));
+    } else {
+      server.pass(nowMs);
+      PlanEvent result = obey(server, effect, arrivedMs);
+      boolean waits =
+          effect instanceof PlanEffect.Hold hold && hold.waitMs() > 0 && server.ended.isEmpty();
+      if (answerLost) {
+        at(700, () -> from.tell(answer(effect, none, arrivedMs)));
+      } else if (waits) {
+        at(100, () -> from.tell(obeyAgain(server, effect, arrivedMs)));
+      } else {
+        at(delay(), () -> from.tell(result));
+      }
+    }
+  }
+
+  private PlanEvent obeyAgain(FakeServer server, PlanEffect effect, long sentMs) {
+    server.pass(nowMs);
+    return server.up && server.reachable
+        ? obey(server, effect, sentMs)
+        : answer(effect, new OrderResult.Unanswered(), sentMs);
+  }
+
+  private static String serverOf(PlanEffect effect) {
+    return switch (effect) {
+      case PlanEffect.Start start -> start.server().id();
+      case PlanEffect.Stop stop -> stop.server().id();
+      case PlanEffect.Hold hold -> hold.server().id();
+      default -> "";
+    };
+  }
+
+  private static long bornOf(PlanEffect effect) {
+    return switch (effect) {
+      case PlanEffect.Start start -> start.server().bornMs();
+      case PlanEffect.Stop stop -> stop.server().bornMs();
+      case PlanEffect.Hold hold -> hold.server().bornMs();
+      default -> 0;
+    };
+  }
+
+  private PlanEvent obey(FakeServer server, PlanEffect effect, long sentMs) {
+    return switch (effect) {
+      case PlanEffect.Start start ->
+          answer(start, server.start(start, specOf(start.task()), taskMs, nowMs), sentMs);
+      case PlanEffect.Stop stop -> answer(stop, server.stop(stop, nowMs), sentMs);
+      case PlanEffect.Hold hold ->
+          new PlanEvent.Held(
+              server.id,
+              hold.server().bornMs(),
+              hold.acknowledged(),
+              sentMs,
+              server.hold(hold, nowMs));
+      default -> new PlanEvent.Tick();
+    };
+  }
+
+  private static PlanEvent answer(PlanEffect effect, OrderResult result, long sentMs) {
+    return switch (effect) {
+      case PlanEffect.Start s ->
+          new PlanEvent.Started(s.server().id(), s.server().bornMs(), s.task(), s.run(), result);
+      case PlanEffect.Stop s ->
+          new PlanEvent.Stopped(s.server().id(), s.server().bornMs(), s.task(), s.run(), result);
+      case PlanEffect.Hold h ->
+          new PlanEvent.Held(
+              h.server().id(),
+              h.server().bornMs(),
+              h.acknowledged(),
+              sentMs,
+              new HoldResult.Failed(result));
+      default -> new PlanEvent.Tick();
+    };
+  }
+
+  private final Map<String, JobSpec> specs = new HashMap<>();
+
+  private JobSpec jobOf(TaskKey task) {
+    return specs.computeIfAbsent(
+        task.job(),
+        id -> ((JobRecord.Submitted) Objects.requireNonNull(stored.get("s/" + id))).spec());
+  }
+
+  private StepSpec specOf(TaskKey task) {
+    return jobOf(task).steps().get(task.step());
+  }
+
+  FakeServer get(String id) {
+    return Objects.requireNonNull(servers.get(id));
+  }
+
+  @Override
+  public void started(FakeServer server, TaskKey task, long run, long atMs) {
+    if (present.merge(task, 1, Integer::sum) > 1) {
+      broken.add("two runs of " + task + " at " + atMs);
+    }
+    lastStart.put(task, atMs);
+    if (noted.contains(task)) {
+      broken.add("a start of " + task + " after its end was noted at " + atMs);
+    }
+    for (int before : specOf(task).after()) {
+      int count = jobOf(task).steps().get(before).count();
+      for (int i = 0; i < count; i++) {
+        if (!done.contains(new TaskKey(task.job(), task.occurrence(), before, i))) {
+          broken.add("a start of " + task + " before step " + before + " is done");
+        }
+      }
+    }
+    long cpu =
+        servers.values().stream()
+            .flatMap(s -> s.running.keySet().stream())
+            .mapToLong(t -> specOf(t).need().cpu())
+            .sum();
+    if (quota.cpu() > 0 && cpu > quota.cpu()) {
+      broken.add("quota exceeded: " + cpu + " at " + atMs);
+    }
+    long used = server.running.keySet().stream().mapToLong(t -> specOf(t).reserved().cpu()).sum();
+    if (used > server.capacity.cpu()) {
+      broken.add("capacity exceeded: " + used + " on " + server.id);
+    }
+  }
+
+  @Override
+  public void over(FakeServer server, TaskKey task, long run, TaskEnd.How how) {
+    present.merge(task, -1, Integer::sum);
+    if (how == TaskEnd.How.DONE) {
+      done.add(task);
+    }
+  }
+
+  @Override
+  public void noted(TaskEnd end, long endedMs, boolean lapsed) {
+    if (end.how() != TaskEnd.How.DONE || lapsed) {
+      return;
+    }
+    noted.add(end.task());
+    if (lastStart.getOrDefault(end.task(), 0L) > endedMs) {
+      broken.add("a start of " + end.task() + " after its end at " + endedMs);
+    }
+  }
+}
--- a/entry/src/main/java/dev/toucanstall/entry/node/NodeRunner.java
+++ b/entry/src/main/java/dev/toucanstall/entry/node/NodeRunner.java
@@ -93,13 +93,10 @@
       case NodeEffect.AnswerPing answer ->
           peers.send(answer.link(), new NodeMessage.Pong(answer.plans()));
       case NodeEffect.DeclinePeer decline ->
-          peers.send(decline.link(), new NodeMessage.NotPlanner(decline.number()));
+          peers.send(decline.link(), new NodeMessage.NotPlanner(decline.number(), decline.taken()));
       case NodeEffect.Follow follow -> planner.follow(follow.planner());
       case NodeEffect.Elect elect ->
-          Thread.ofPlatform()
-              .name("election")
-              .daemon()
-              .start(() -> elect(elect.lastEpoch()));
+          Thread.ofPlatform().name("election").daemon().start(() -> elect(elect.lastEpoch()));
       case NodeEffect.Announce announce -> {
         parts.watchServers(announce.epoch());
         announce(announce.epoch());
--- a/entry/src/main/java/dev/toucanstall/entry/node/PlannerLink.java
+++ b/entry/src/main/java/dev/toucanstall/entry/node/PlannerLink.java
@@ -58,7 +58,7 @@
             && current != null
             && current.offer(JobCodec.MESSAGES.encode(new NodeMessage.Ask(ticket, call)));
     if (!sent) {
-      events.accept(new NodeEvent.LinkDown(to, "there is no link"));
+      events.accept(new NodeEvent.PeerDeclined(ticket, false));
     }
   }
 
@@ -123,7 +123,7 @@
       case NodeMessage.Reply reply ->
           events.accept(new NodeEvent.PeerAnswered(reply.number(), reply.answer()));
       case NodeMessage.NotPlanner declined ->
-          events.accept(new NodeEvent.PeerDeclined(declined.number()));
+          events.accept(new NodeEvent.PeerDeclined(declined.number(), declined.taken()));
       case NodeMessage.Pong pong -> events.accept(new NodeEvent.PeerPonged(pong.plans()));
       case NodeMessage.Ping ping -> LogLine.of("ping-unexpected").warn(LOG);
       case NodeMessage.Ask ask ->
