--- a/core/src/main/java/dev/toucanstall/core/plan/Evacuation.java
+++ b/core/src/main/java/dev/toucanstall/core/plan/Evacuation.java
@@ -47,8 +47,15 @@
     return away < Math.max(1, task.step.mayMiss());
   }
 
+  /** A task on a backend server that does not answer may long be gone. */
   static boolean atWork(Task task) {
-    return task.phase == TaskPhase.RUNNING && task.percent >= AT_WORK;
+    Server on = task.server;
+    return on != null
+        && on.known
+        && on.silentSinceMs == 0
+        && !on.unlisted
+        && task.phase == TaskPhase.RUNNING
+        && task.percent >= AT_WORK;
   }
 
   private static boolean roomElsewhere(Plan plan, Server server, Task task) {
--- a/core/src/main/java/dev/toucanstall/core/plan/Maintenance.java
+++ b/core/src/main/java/dev/toucanstall/core/plan/Maintenance.java
@@ -167,8 +167,7 @@
   }
 
   private static void orderIfEmpty(Plan plan, Wave wave, String machine, Now now) {
-    Server server = plan.servers.get(wave.emptying.getOrDefault(machine, ""));
-    if (server != null && !server.tasks.isEmpty()) {
+    if (!isEmpty(plan, wave, machine, now)) {
       return;
     }
     if (now.steadyMs() < wave.retryAfterMs.getOrDefault(machine, 0L)) {
@@ -179,6 +178,20 @@
     plan.emit(new PlanEffect.Maintain(wave.order.number(), machine, plan.epoch));
   }
 
+  /** Looks at the backend server that is on the machine now, which may be a later one. */
+  private static boolean isEmpty(Plan plan, Wave wave, String machine, Now now) {
+    MachineEntry entry = plan.machines.listed.get(machine);
+    if (entry != null && !entry.server().equals(wave.emptying.get(machine))) {
+      empty(plan, wave, entry, now);
+    }
+    Server server = plan.servers.get(wave.emptying.getOrDefault(machine, ""));
+    if (server == null) {
+      return entry == null || !entry.up();
+    }
+    server.evacuating = true;
+    return server.tasks.isEmpty() && server.known;
+  }
+
   /** Begins to empty as many machines as the wave and their pools allow. */
   private static void choose(Plan plan, Wave wave, List<String> left, Now now) {
     boolean late = late(wave, left, now);
--- a/core/src/test/java/dev/toucanstall/core/plan/PlanTest.java
+++ b/core/src/test/java/dev/toucanstall/core/plan/PlanTest.java
@@ -7,7 +7,9 @@
 import dev.toucanstall.core.job.JobPhase;
 import dev.toucanstall.core.job.JobSpec;
 import dev.toucanstall.core.job.Resources;
+import dev.toucanstall.core.job.WaveOrder;
 import java.util.List;
+import java.util.stream.Stream;
 import org.junit.jupiter.api.Test;
 
 /** Each test is named for the pattern of load or failure that it brings about. */
@@ -250,4 +252,60 @@
     }
     assertThat(world.broken).isEmpty();
   }
+
+  private static void order(PlanWorld world, String... servers) {
+    List<String> machines = Stream.of(servers).map(s -> "m-" + s).toList();
+    world.tell(new PlanEvent.WaveOrdered(new WaveOrder(1, machines, 20_000, 2)));
+  }
+
+  @Test
+  void waveMaintainsEachMachineWithoutEndingTasks() {
+    PlanWorld world = new PlanWorld(1);
+    Stream.of("w1", "w2", "w3", "w4").forEach(id -> world.server(id, 10_000));
+    world.elect();
+    world.run(200);
+    world.submit("j", PlanWorld.lasting(4, 1_000, 1));
+    world.submit("k", PlanWorld.step(12, 1_000), PlanWorld.step(12, 1_000, 0));
+    world.run(500);
+    order(world, "w1", "w2", "w3");
+    world.run(20_000);
+    assertThat(world.maintained).containsExactly("m-w1", "m-w2", "m-w3");
+    assertThat(world.wavesTold).containsExactly(1, true);
+    assertThat(world.broken).isEmpty();
+    assertThat(runningOf(world, "j")).isEqualTo(4);
+  }
+
+  @Test
+  void waveGoesOnUnderTheNextPlanner() {
+    PlanWorld world = new PlanWorld(1);
+    Stream.of("w1", "w2", "w3", "w4").forEach(id -> world.server(id, 10_000));
+    final PlanWorld.Planner first = world.elect();
+    world.run(200);
+    order(world, "w1", "w2", "w3");
+    world.run(900);
+    first.alive = false;
+    world.elect();
+    order(world, "w1", "w2", "w3");
+    world.run(20_000);
+    assertThat(world.maintained).containsExactly("m-w1", "m-w2", "m-w3");
+    assertThat(world.wavesTold).containsExactly(1, true);
+  }
+
+  @Test
+  void lastingTaskOnDarkServerCountsAsAway() {
+    PlanWorld world = new PlanWorld(1);
+    Stream.of("w1", "w2", "w3").forEach(id -> world.server(id, 10_000));
+    world.elect();
+    world.run(200);
+    world.submit("j", PlanWorld.lasting(2, 1_000, 1));
+    world.run(1_500);
+    List<FakeServer> used =
+        world.servers.values().stream().filter(s -> !s.running.isEmpty()).toList();
+    assertThat(used).hasSize(2);
+    used.getFirst().reachable = false;
+    world.run(3_500);
+    order(world, used.getLast().id);
+    world.run(1_000);
+    assertThat(used.getLast().running).hasSize(1);
+  }
 }
--- a/core/src/test/java/dev/toucanstall/core/plan/PlanWorld.java
+++ b/core/src/test/java/dev/toucanstall/core/plan/PlanWorld.java
@@ -6,6 +6,7 @@
 import dev.toucanstall.core.job.JobCall;
 import dev.toucanstall.core.job.JobRecord;
 import dev.toucanstall.core.job.JobSpec;
+import dev.toucanstall.core.job.MachineEntry;
 import dev.toucanstall.core.job.Queue;
 import dev.toucanstall.core.job.Resources;
 import dev.toucanstall.core.job.StepSpec;
@@ -74,6 +75,8 @@
   final Map<TaskKey, Long> lastStart = new HashMap<>();
   final Set<TaskKey> noted = new HashSet<>();
   final Set<TaskKey> done = new HashSet<>();
+  final Map<Integer, Boolean> wavesTold = new HashMap<>();
+  final Set<String> maintained = new HashSet<>();
   Resources quota = Resources.NONE;
   double lost;
   double late;
@@ -231,11 +234,38 @@
       case PlanEffect.Start start -> order(from, start);
       case PlanEffect.Stop stop -> order(from, stop);
       case PlanEffect.Hold hold -> order(from, hold);
+      case PlanEffect.ListMachines list -> {
+        long asked = nowMs;
+        at(delay(), () -> from.tell(new PlanEvent.MachinesRead(asked, machines())));
+      }
+      case PlanEffect.Maintain maintain -> at(delay(), () -> maintain(from, maintain));
+      case PlanEffect.TellWave told -> wavesTold.put(told.wave(), told.completed());
       case PlanEffect.Resign resign -> from.alive = false;
       default -> {}
     }
   }
 
+  /** Each backend server stands on a machine of its own, named after it. */
+  private List<MachineEntry> machines() {
+    return servers.values().stream()
+        .map(s -> new MachineEntry("m-" + s.id, SERVICE, s.up, s.id))
+        .toList();
+  }
+
+  private void maintain(Planner from, PlanEffect.Maintain order) {
+    FakeServer server = get(order.machine().substring(2));
+    maintained.add(order.machine());
+    server.running.keySet().forEach(t -> broken.add("maintenance ends " + t));
+    server.crash();
+    at(2_000, () -> server(server.id, server.capacity.cpu()));
+    at(
+        delay(),
+        () ->
+            from.tell(
+                new PlanEvent.Maintained(
+                    order.wave(), order.machine(), MaintainResult.BEGUN)));
+  }
+
   private long delay() {
     return 1 + random.nextInt(5);
   }
