Serve accounts within their share first; see what a started job still needs

Cause: in overload a started job counted as on time until its objective had passed, and jobs beyond an account's weight took the place of those within it. Tests: accountThatSendsManyTimesItsShareWaitsBehindTheOthers, startedJobThatIsLateWaitsBehindThoseThatAreNot, machineThatIsSwitchedOffIsMaintainedAtOnce.

--- a/core/src/main/java/dev/toucanstall/core/plan/CallRules.java
+++ b/core/src/main/java/dev/toucanstall/core/plan/CallRules.java
@@ -1,11 +1,13 @@
 package dev.toucanstall.core.plan;
 
+import dev.toucanstall.core.job.Account;
 import dev.toucanstall.core.job.JobAnswer;
 import dev.toucanstall.core.job.JobAnswer.Reason;
 import dev.toucanstall.core.job.JobCall;
 import dev.toucanstall.core.job.JobPhase;
 import dev.toucanstall.core.job.JobRecord;
 import dev.toucanstall.core.job.Queue;
+import dev.toucanstall.core.job.StepSpec;
 import dev.toucanstall.core.job.TaskPhase;
 import java.util.List;
 
@@ -50,9 +52,37 @@
                 now.wallMs(),
                 submit.spec()));
     JobRules.add(plan, job);
+    Account account = plan.catalog.accounts().get(job.account);
+    if (account != null && !job.spec.lasting()) {
+      job.beyondShare = !plan.shares.take(job.account, account.weight(), now.steadyMs());
+    }
     plan.ledger.submitted(job);
     acceptOnceStored(plan, ticket, job);
-    plan.note("job-accepted", "job", job.id, "queue", job.queue, "account", job.account);
+    noteAccepted(plan, job, now);
+  }
+
+  private static void noteAccepted(Plan plan, Job job, Now now) {
+    StepSpec first = job.spec.steps().getFirst();
+    plan.note(
+        "job-accepted",
+        "job",
+        job.id,
+        "queue",
+        job.queue,
+        "account",
+        job.account,
+        "tasks",
+        Long.toString(job.tasks().count()),
+        "cpu",
+        Long.toString(first.need().cpu()),
+        "memory",
+        Long.toString(first.need().memory()),
+        "kind",
+        first.lasting() ? "lasting" : first.fills() ? "filling" : "short",
+        "beyond-share",
+        Boolean.toString(job.beyondShare),
+        "objective-in-ms",
+        Long.toString(job.objectiveMs - now.wallMs()));
   }
 
   private static void show(Plan plan, long ticket, JobCall.Show show) {
--- a/core/src/main/java/dev/toucanstall/core/plan/Job.java
+++ b/core/src/main/java/dev/toucanstall/core/plan/Job.java
@@ -31,6 +31,9 @@
   /** Calls that handed it in during this term and may wait for their answer. */
   final List<Long> submissions = new ArrayList<>();
 
+  /** Whether its client account has sent more than its share. */
+  boolean beyondShare;
+
   /** Objective as Unix milliseconds; work past it is worth little. */
   long objectiveMs;
 
--- a/core/src/main/java/dev/toucanstall/core/plan/JobRules.java
+++ b/core/src/main/java/dev/toucanstall/core/plan/JobRules.java
@@ -8,6 +8,7 @@
 import dev.toucanstall.core.job.TaskPhase;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.function.IntToLongFunction;
 
 /** Decides how far jobs are. */
 final class JobRules {
@@ -40,13 +41,30 @@
 
   /** Returns the longest chain of work of a job by what has been learned, in milliseconds. */
   static long chainMs(Plan plan, Job job) {
+    return longest(job, s -> plan.durations.expectMs(job.queue, job.spec.steps().get(s)));
+  }
+
+  /** Returns the same without the work that is done, for the first occurrence. */
+  static long chainLeftMs(Plan plan, Job job, Now now) {
+    return longest(job, s -> leftMs(plan, job, job.occurrences.getFirst().get(s), now));
+  }
+
+  private static long leftMs(Plan plan, Job job, List<Task> step, Now now) {
+    long expected = plan.durations.expectMs(job.queue, step.getFirst().step);
+    return step.stream()
+        .filter(t -> t.phase != TaskPhase.DONE)
+        .mapToLong(t -> t.phase.bound() ? expected - (now.steadyMs() - t.orderedMs) : expected)
+        .max()
+        .orElse(0);
+  }
+
+  private static long longest(Job job, IntToLongFunction length) {
     List<StepSpec> steps = job.spec.steps();
     long[] ends = new long[steps.size()];
     long longest = 0;
     for (int s = 0; s < ends.length; s++) {
-      StepSpec step = steps.get(s);
-      long start = step.after().stream().mapToLong(n -> ends[n]).max().orElse(0);
-      ends[s] = start + plan.durations.expectMs(job.queue, step);
+      long start = steps.get(s).after().stream().mapToLong(n -> ends[n]).max().orElse(0);
+      ends[s] = start + Math.max(0, length.applyAsLong(s));
       longest = Math.max(longest, ends[s]);
     }
     return longest;
--- a/core/src/main/java/dev/toucanstall/core/plan/Maintenance.java
+++ b/core/src/main/java/dev/toucanstall/core/plan/Maintenance.java
@@ -186,7 +186,7 @@
     }
     Server server = plan.servers.get(wave.emptying.getOrDefault(machine, ""));
     if (server == null) {
-      return entry == null || !entry.up();
+      return entry == null || !entry.up() || entry.server().isEmpty();
     }
     server.evacuating = true;
     return server.tasks.isEmpty() && server.known;
--- a/core/src/main/java/dev/toucanstall/core/plan/Placement.java
+++ b/core/src/main/java/dev/toucanstall/core/plan/Placement.java
@@ -46,10 +46,14 @@
     ordered.forEach(round::place);
   }
 
-  /** Lasting work first, then what can still meet its objective, by objective. */
+  /**
+   * Lasting work first, then accounts within their share, then what can still meet its objective,
+   * by objective.
+   */
   private static Comparator<Job> order(Plan plan, Now now) {
     return Comparator.comparingInt((Job j) -> priority(plan, j))
         .thenComparing(j -> !j.spec.lasting())
+        .thenComparing(j -> j.beyondShare)
         .thenComparing(j -> late(plan, j, now))
         .thenComparingLong(j -> j.objectiveMs);
   }
@@ -60,7 +64,10 @@
   }
 
   private static boolean late(Plan plan, Job job, Now now) {
-    long ahead = job.phase == JobPhase.PENDING ? JobRules.chainMs(plan, job) : 0;
+    long ahead =
+        job.phase == JobPhase.PENDING
+            ? JobRules.chainMs(plan, job)
+            : JobRules.chainLeftMs(plan, job, now);
     return now.wallMs() + ahead > job.objectiveMs;
   }
 
--- a/core/src/main/java/dev/toucanstall/core/plan/Plan.java
+++ b/core/src/main/java/dev/toucanstall/core/plan/Plan.java
@@ -25,6 +25,7 @@
   final long epoch;
   final Ledger ledger;
   final Quotas quotas = new Quotas();
+  final Shares shares = new Shares();
   final Map<String, Job> jobs = new LinkedHashMap<>();
   final Map<String, Server> servers = new LinkedHashMap<>();
   final Map<String, Set<Job>> openByService = new HashMap<>();
--- a/core/src/test/java/dev/toucanstall/core/plan/PlanTest.java
+++ b/core/src/test/java/dev/toucanstall/core/plan/PlanTest.java
@@ -275,6 +275,19 @@
     assertThat(runningOf(world, "j")).isEqualTo(4);
   }
 
+  @Test
+  void machineThatIsSwitchedOffIsMaintainedAtOnce() {
+    PlanWorld world = new PlanWorld(1);
+    world.server("w1", 10_000);
+    world.standby.add("m-off");
+    world.elect();
+    world.run(200);
+    order(world, "off");
+    world.run(2_000);
+    assertThat(world.maintained).containsExactly("m-off");
+    assertThat(world.wavesTold).containsExactly(1, true);
+  }
+
   @Test
   void waveGoesOnUnderTheNextPlanner() {
     PlanWorld world = new PlanWorld(1);
@@ -291,6 +304,36 @@
     assertThat(world.wavesTold).containsExactly(1, true);
   }
 
+  @Test
+  void accountThatSendsManyTimesItsShareWaitsBehindTheOthers() {
+    PlanWorld world = new PlanWorld(1);
+    world.server("w1", 1_000);
+    world.elect();
+    world.run(200);
+    for (int i = 0; i < 30; i++) {
+      world.submitAs("b", "hot" + i, PlanWorld.step(1, 1_000));
+    }
+    world.run(100);
+    world.submit("mine", PlanWorld.step(1, 1_000));
+    world.run(1_200);
+    assertThat(show(world, "mine")).isEqualTo(new JobAnswer.Shown(JobPhase.COMPLETED));
+  }
+
+  @Test
+  void startedJobThatIsLateWaitsBehindThoseThatAreNot() {
+    PlanWorld world = new PlanWorld(1);
+    world.server("w1", 1_000);
+    world.elect();
+    world.run(200);
+    world.submit("slow", PlanWorld.step(1, 1_000), PlanWorld.step(5, 1_000, 0));
+    world.run(1_300);
+    world.submit("fresh", PlanWorld.step(1, 1_000));
+    world.run(900);
+    assertThat(show(world, "fresh")).isEqualTo(new JobAnswer.Shown(JobPhase.COMPLETED));
+    world.run(3_000);
+    assertThat(show(world, "slow")).isEqualTo(new JobAnswer.Shown(JobPhase.COMPLETED));
+  }
+
   @Test
   void lastingTaskOnDarkServerCountsAsAway() {
     PlanWorld world = new PlanWorld(1);
--- a/core/src/test/java/dev/toucanstall/core/plan/PlanWorld.java
+++ b/core/src/test/java/dev/toucanstall/core/plan/PlanWorld.java
@@ -76,6 +76,7 @@
   final Set<TaskKey> noted = new HashSet<>();
   final Set<TaskKey> done = new HashSet<>();
   final Map<Integer, Boolean> wavesTold = new HashMap<>();
+  final Set<String> standby = new HashSet<>();
   final Set<String> maintained = new HashSet<>();
   Resources quota = Resources.NONE;
   double lost;
@@ -103,7 +104,8 @@
   Catalog catalog() {
     Queue queue = new Queue(QUEUE, "h", "/q/", SERVICE, 0, 3, 2, 600, false, false);
     Account account = new Account(ACCOUNT, Set.of("key"), 1, quota);
-    return Catalog.of(1, List.of(queue), List.of(account));
+    Account other = new Account("b", Set.of("other"), 1, Resources.NONE);
+    return Catalog.of(1, List.of(queue), List.of(account, other));
   }
 
   void at(long inMs, Runnable action) {
@@ -182,8 +184,12 @@
   }
 
   long submit(String job, StepSpec... steps) {
+    return submitAs(ACCOUNT, job, steps);
+  }
+
+  long submitAs(String account, String job, StepSpec... steps) {
     JobSpec spec = new JobSpec("text", List.of(steps), 1, 0, 0);
-    return call(new JobCall.Submit(job, QUEUE, ACCOUNT, spec));
+    return call(new JobCall.Submit(job, QUEUE, account, spec));
   }
 
   static StepSpec step(int count, long cpu, Integer... after) {
@@ -247,23 +253,28 @@
 
   /** Each backend server stands on a machine of its own, named after it. */
   private List<MachineEntry> machines() {
-    return servers.values().stream()
-        .map(s -> new MachineEntry("m-" + s.id, SERVICE, s.up, s.id))
+    return Stream.concat(
+            servers.values().stream().map(s -> new MachineEntry("m-" + s.id, SERVICE, s.up, s.id)),
+            standby.stream().map(name -> new MachineEntry(name, "spare", true, "")))
         .toList();
   }
 
   private void maintain(Planner from, PlanEffect.Maintain order) {
-    FakeServer server = get(order.machine().substring(2));
     maintained.add(order.machine());
-    server.running.keySet().forEach(t -> broken.add("maintenance ends " + t));
-    server.crash();
-    at(2_000, () -> server(server.id, server.capacity.cpu()));
+    if (!standby.contains(order.machine())) {
+      restart(get(order.machine().substring(2)));
+    }
     at(
         delay(),
         () ->
             from.tell(
-                new PlanEvent.Maintained(
-                    order.wave(), order.machine(), MaintainResult.BEGUN)));
+                new PlanEvent.Maintained(order.wave(), order.machine(), MaintainResult.BEGUN)));
+  }
+
+  private void restart(FakeServer server) {
+    server.running.keySet().forEach(t -> broken.add("maintenance ends " + t));
+    server.crash();
+    at(2_000, () -> server(server.id, server.capacity.cpu()));
   }
 
   private long delay() {
