--- a/core/src/main/java/dev/toucanstall/core/plan/Maintenance.java
+++ b/core/src/main/java/dev/toucanstall/core/plan/Maintenance.java
@@ -228,7 +228,7 @@
         plan.servers.values().stream()
             .filter(s -> s.entry.service().equals(machine.service()))
             .toList();
-    long working = pool.stream().filter(s -> s.known && !s.evacuating && !s.unlisted).count();
+    long working = pool.stream().filter(Maintenance::works).count();
     boolean busy =
         plan.openByService.getOrDefault(machine.service(), Set.of()).stream()
             .anyMatch(j -> !j.spec.lasting());
@@ -240,6 +240,10 @@
     return total - working < mayBeAway || (pool.isEmpty() && total > 0);
   }
 
+  private static boolean works(Server server) {
+    return server.known && server.silentSinceMs == 0 && !server.evacuating && !server.unlisted;
+  }
+
   private static void empty(Plan plan, Wave wave, MachineEntry machine, Now now) {
     wave.emptying.put(machine.name(), machine.server());
     Server server = plan.servers.get(machine.server());
