Count the machines of a wave that an earlier planner has had taken down

Change: machines of the wave that the platform lists as not in service count. Test: nextPlannerCountsMachinesThatAreDown failed before with 2 and 3 others.

--- a/core/src/main/java/dev/toucanstall/core/plan/Maintenance.java
+++ b/core/src/main/java/dev/toucanstall/core/plan/Maintenance.java
@@ -204,7 +204,7 @@
             .sorted(Comparator.comparingInt(m -> tasks(plan, m)))
             .toList();
     for (MachineEntry machine : candidates) {
-      if (wave.away() >= wave.order.parallel()) {
+      if (wave.away(plan.machines.listed) >= wave.order.parallel()) {
         return;
       }
       if (poolAllows(plan, machine, late)) {
--- a/core/src/main/java/dev/toucanstall/core/plan/Wave.java
+++ b/core/src/main/java/dev/toucanstall/core/plan/Wave.java
@@ -1,5 +1,6 @@
 package dev.toucanstall.core.plan;
 
+import dev.toucanstall.core.job.MachineEntry;
 import dev.toucanstall.core.job.WaveOrder;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -35,10 +36,14 @@
     this.dueMs = nowMs + order.durationMs();
   }
 
-  int away() {
+  /** Counts the machines that are away, also those that an earlier planner has had maintained. */
+  int away(Map<String, MachineEntry> listed) {
     Set<String> away = new HashSet<>(emptying.keySet());
     away.addAll(ordered);
     away.addAll(down.keySet());
+    order.machines().stream()
+        .filter(m -> listed.containsKey(m) && !listed.get(m).up())
+        .forEach(away::add);
     return away.size();
   }
 }
--- a/core/src/test/java/dev/toucanstall/core/plan/PlanTest.java
+++ b/core/src/test/java/dev/toucanstall/core/plan/PlanTest.java
@@ -9,6 +9,7 @@
 import dev.toucanstall.core.job.Resources;
 import dev.toucanstall.core.job.WaveOrder;
 import java.util.List;
+import java.util.stream.IntStream;
 import java.util.stream.Stream;
 import org.junit.jupiter.api.Test;
 
@@ -255,7 +256,7 @@
 
   private static void order(PlanWorld world, String... servers) {
     List<String> machines = Stream.of(servers).map(s -> "m-" + s).toList();
-    world.tell(new PlanEvent.WaveOrdered(new WaveOrder(1, machines, 20_000, 2)));
+    world.tell(new PlanEvent.WaveOrdered(new WaveOrder(1, machines, 20_000, world.parallel)));
   }
 
   @Test
@@ -275,6 +276,25 @@
     assertThat(runningOf(world, "j")).isEqualTo(4);
   }
 
+  @Test
+  void nextPlannerCountsMachinesThatAreDown() {
+    PlanWorld world = new PlanWorld(1);
+    List<String> ids = IntStream.range(0, 12).mapToObj(i -> "w" + i).toList();
+    ids.forEach(id -> world.server(id, 10_000));
+    final PlanWorld.Planner first = world.elect();
+    world.run(200);
+    order(world, ids.toArray(String[]::new));
+    world.run(100);
+    assertThat(world.maintained).hasSize(2);
+    first.alive = false;
+    world.run(100);
+    world.elect();
+    order(world, ids.toArray(String[]::new));
+    world.run(30_000);
+    assertThat(world.broken).isEmpty();
+    assertThat(world.maintained).hasSize(12);
+  }
+
   @Test
   void machineThatIsSwitchedOffIsMaintainedAtOnce() {
     PlanWorld world = new PlanWorld(1);
--- a/core/src/test/java/dev/toucanstall/core/plan/PlanWorld.java
+++ b/core/src/test/java/dev/toucanstall/core/plan/PlanWorld.java
@@ -76,6 +76,7 @@
   final Set<TaskKey> noted = new HashSet<>();
   final Set<TaskKey> done = new HashSet<>();
   final Map<Integer, Boolean> wavesTold = new HashMap<>();
+  int parallel = 2;
   final Set<String> standby = new HashSet<>();
   final Set<String> maintained = new HashSet<>();
   Resources quota = Resources.NONE;
@@ -261,6 +262,10 @@
 
   private void maintain(Planner from, PlanEffect.Maintain order) {
     maintained.add(order.machine());
+    long down = servers.values().stream().filter(s -> !s.up).count();
+    if (down >= parallel) {
+      broken.add(order.machine() + " is maintained beside " + down + " others");
+    }
     if (!standby.contains(order.machine())) {
       restart(get(order.machine().substring(2)));
     }
