Move machines to queues that surge, and to the spare pool when not needed

Ruled out: order within the queue (nothing else was waiting). Change: Demand adds up what lasting work takes, what arrives and what waits against its objective; PoolMoves moves machines without tasks, first from pools with more than they need, then from those that are off, and back once idle. The intent is stored before the order, so that the next planner gives a late order again under its own fence before it uses the machine.

--- a/core/src/main/java/dev/toucanstall/core/job/Catalog.java
+++ b/core/src/main/java/dev/toucanstall/core/job/Catalog.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.function.Function;
 import java.util.stream.Collectors;
 
@@ -15,13 +16,15 @@
  * @param named the queues by name
  * @param accounts the client accounts by name
  * @param byKey the client accounts by key
+ * @param spare the pools whose machines are switched off and wait for use elsewhere
  */
 public record Catalog(
     long version,
     Map<String, List<Queue>> queues,
     Map<String, Queue> named,
     Map<String, Account> accounts,
-    Map<String, Account> byKey) {
+    Map<String, Account> byKey,
+    Set<String> spare) {
 
   /**
    * Makes a catalog.
@@ -29,9 +32,11 @@
    * @param version the version
    * @param queues all queues
    * @param accounts all client accounts
+   * @param spare the pools whose machines are switched off
    * @return the catalog
    */
-  public static Catalog of(long version, List<Queue> queues, List<Account> accounts) {
+  public static Catalog of(
+      long version, List<Queue> queues, List<Account> accounts, Set<String> spare) {
     Map<String, List<Queue>> byHost =
         queues.stream()
             .sorted(Comparator.comparingInt((Queue q) -> -q.prefix().length()))
@@ -41,7 +46,12 @@
             .flatMap(a -> a.keys().stream().map(k -> Map.entry(k, a)))
             .collect(Collectors.toMap(Map.Entry::getKey, Map.Entry::getValue, (a, b) -> a));
     return new Catalog(
-        version, byHost, index(queues, Queue::name), index(accounts, Account::name), byKey);
+        version,
+        byHost,
+        index(queues, Queue::name),
+        index(accounts, Account::name),
+        byKey,
+        Set.copyOf(spare));
   }
 
   private static <T> Map<String, T> index(List<T> all, Function<T, String> name) {
--- a/core/src/main/java/dev/toucanstall/core/job/JobRecord.java
+++ b/core/src/main/java/dev/toucanstall/core/job/JobRecord.java
@@ -67,6 +67,28 @@
     }
   }
 
+  /**
+   * The orders to move machines that may yet be carried out; replaces the earlier record.
+   *
+   * @param moves the orders
+   */
+  record OpenMoves(List<MachineMove> moves) implements JobRecord {
+
+    /** Copies the list. */
+    public OpenMoves {
+      moves = List.copyOf(moves);
+    }
+  }
+
+  /**
+   * An order to move a machine.
+   *
+   * @param machine the machine
+   * @param service the pool that it joins
+   * @param server the backend server that ends with the move, empty if none
+   */
+  record MachineMove(String machine, String service, String server) {}
+
   /**
    * How far a task is.
    *
--- a/core/src/main/java/dev/toucanstall/core/plan/CallRules.java
+++ b/core/src/main/java/dev/toucanstall/core/plan/CallRules.java
@@ -56,6 +56,10 @@
     if (account != null && !job.spec.lasting()) {
       job.beyondShare = !plan.shares.take(job.account, account.weight(), now.steadyMs());
     }
+    if (!job.beyondShare) {
+      Load work = JobRules.work(plan, job);
+      plan.arrivals.add(job.service, work, JobRules.chainMs(plan, job), now.steadyMs());
+    }
     plan.ledger.submitted(job);
     acceptOnceStored(plan, ticket, job);
     noteAccepted(plan, job, now);
@@ -78,7 +82,9 @@
         "memory",
         Long.toString(first.need().memory()),
         "kind",
-        first.lasting() ? "lasting" : first.fills() ? "filling" : "short",
+        first.fills() ? "filling" : first.lasting() ? "lasting" : "short",
+        "per-server",
+        Integer.toString(first.perServer()),
         "beyond-share",
         Boolean.toString(job.beyondShare),
         "objective-in-ms",
--- a/core/src/main/java/dev/toucanstall/core/plan/JobRules.java
+++ b/core/src/main/java/dev/toucanstall/core/plan/JobRules.java
@@ -49,6 +49,19 @@
     return longest(job, s -> leftMs(plan, job, job.occurrences.getFirst().get(s), now));
   }
 
+  /** Returns the work of a job's short tasks, in milliseconds of what they need. */
+  static Load work(Plan plan, Job job) {
+    return job.spec.steps().stream()
+        .filter(step -> !step.lasting())
+        .map(step -> work(plan, job, step))
+        .reduce(Load.NONE, Load::plus);
+  }
+
+  private static Load work(Plan plan, Job job, StepSpec step) {
+    double length = plan.durations.expectMs(job.queue, step);
+    return Load.of(step.reserved()).times(step.count() * length);
+  }
+
   private static long leftMs(Plan plan, Job job, List<Task> step, Now now) {
     long expected = plan.durations.expectMs(job.queue, step.getFirst().step);
     return step.stream()
--- a/core/src/main/java/dev/toucanstall/core/plan/Maintenance.java
+++ b/core/src/main/java/dev/toucanstall/core/plan/Maintenance.java
@@ -8,15 +8,10 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
-import java.util.function.Function;
-import java.util.stream.Collectors;
 
 /** Decides which machine of a maintenance wave is emptied and maintained next. */
 final class Maintenance {
 
-  /** Time between two lists of machines while a wave is open, in milliseconds. */
-  private static final long LIST_MS = 600;
-
   /** Pause before an order that had no effect is given again, in milliseconds. */
   private static final long RETRY_MS = 500;
 
@@ -45,26 +40,27 @@
   }
 
   static void machinesRead(Plan plan, PlanEvent.MachinesRead read, Now now) {
-    plan.machines.asking = false;
-    plan.machines.askAfterMs = now.steadyMs() + LIST_MS;
-    plan.machines.known = true;
-    plan.machines.listed =
-        read.machines().stream()
-            .collect(Collectors.toMap(MachineEntry::name, Function.identity(), (a, b) -> b));
+    plan.machines.read(read.machines(), now);
     for (Wave wave : plan.waves.values()) {
       wave.down.entrySet().removeIf(e -> e.getValue() < read.askedMs() && isBack(plan, e.getKey()));
     }
   }
 
-  /** A machine is back when it is in service with a backend server that lists itself. */
+  /**
+   * A machine is back when it is in service with a backend server that lists itself, or in a pool
+   * whose machines are switched off.
+   */
   private static boolean isBack(Plan plan, String machine) {
     MachineEntry entry = plan.machines.listed.get(machine);
-    return entry == null || (entry.up() && plan.servers.containsKey(entry.server()));
+    if (entry == null) {
+      return true;
+    }
+    boolean off = plan.catalog.spare().contains(entry.service());
+    return entry.up() && (off || plan.servers.containsKey(entry.server()));
   }
 
   static void machinesUnknown(Plan plan, PlanEvent.MachinesUnknown unknown, Now now) {
-    plan.machines.asking = false;
-    plan.machines.askAfterMs = now.steadyMs() + LIST_MS;
+    plan.machines.answered(now);
     plan.note("machines-unknown", "why", unknown.why());
   }
 
@@ -91,7 +87,7 @@
         begun.add(machine);
         plan.ledger.other(new JobRecord.WaveProgress(event.wave(), List.copyOf(begun)));
       }
-      case NOT_OURS -> {
+      case UNFIT -> {
         stopEmptying(plan, wave, machine);
         wave.ordered.remove(machine);
         wave.foreign.add(machine);
@@ -124,10 +120,7 @@
     if (!open || now.steadyMs() - plan.confirmedMs() > PlanReducer.START_PERMISSION_MS) {
       return;
     }
-    if (!plan.machines.asking && now.steadyMs() >= plan.machines.askAfterMs) {
-      plan.machines.asking = true;
-      plan.emit(new PlanEffect.ListMachines());
-    }
+    plan.machines.ask(plan, now);
     if (plan.machines.known && plan.listComplete) {
       plan.waves.values().stream().filter(w -> !w.completed).forEach(w -> advance(plan, w, now));
     }
@@ -162,10 +155,17 @@
     Set<String> begun = plan.machines.begun(wave.order.number());
     return wave.order.machines().stream()
         .filter(m -> !begun.contains(m) && !wave.foreign.contains(m))
-        .filter(m -> plan.machines.listed.containsKey(m) || wave.ordered.contains(m))
+        .filter(m -> stays(plan, wave, m))
         .toList();
   }
 
+  /** Tells whether a machine still exists, listed or not. */
+  private static boolean stays(Plan plan, Wave wave, String machine) {
+    return plan.machines.listed.containsKey(machine)
+        || wave.ordered.contains(machine)
+        || plan.moves.concerns(machine);
+  }
+
   private static void orderIfEmpty(Plan plan, Wave wave, String machine, Now now) {
     if (!isEmpty(plan, wave, machine, now)) {
       return;
@@ -197,7 +197,7 @@
     boolean late = late(wave, left, now);
     List<MachineEntry> candidates =
         left.stream()
-            .filter(m -> !wave.emptying.containsKey(m))
+            .filter(m -> !wave.emptying.containsKey(m) && !plan.moves.concerns(m))
             .map(m -> Optional.ofNullable(plan.machines.listed.get(m)))
             .flatMap(Optional::stream)
             .filter(MachineEntry::up)
--- a/core/src/main/java/dev/toucanstall/core/plan/Plan.java
+++ b/core/src/main/java/dev/toucanstall/core/plan/Plan.java
@@ -32,6 +32,8 @@
   final Map<Integer, Wave> waves = new LinkedHashMap<>();
   final Machines machines = new Machines();
   final Durations durations = new Durations();
+  final Arrivals arrivals = new Arrivals();
+  final Moves moves = new Moves();
 
   /** Services whose queue must be looked at. */
   final Set<String> dirtyServices = new LinkedHashSet<>();
--- a/core/src/main/java/dev/toucanstall/core/plan/PlanEffect.java
+++ b/core/src/main/java/dev/toucanstall/core/plan/PlanEffect.java
@@ -94,6 +94,15 @@
    */
   record Maintain(int wave, String machine, long fence) implements PlanEffect {}
 
+  /**
+   * Have the platform move a machine to another pool, which ends all that runs on it.
+   *
+   * @param machine the machine
+   * @param service the pool that it joins
+   * @param fence the fencing token
+   */
+  record Move(String machine, String service, long fence) implements PlanEffect {}
+
   /**
    * Tell the operators how far a wave is.
    *
--- a/core/src/main/java/dev/toucanstall/core/plan/PlanEvent.java
+++ b/core/src/main/java/dev/toucanstall/core/plan/PlanEvent.java
@@ -126,5 +126,14 @@
    * @param machine the machine
    * @param result what became of it
    */
-  record Maintained(int wave, String machine, MaintainResult result) implements PlanEvent {}
+  record Maintained(int wave, String machine, MachineResult result) implements PlanEvent {}
+
+  /**
+   * An order to move a machine has ended.
+   *
+   * @param machine the machine
+   * @param service the pool that it was to join
+   * @param result what became of it
+   */
+  record Moved(String machine, String service, MachineResult result) implements PlanEvent {}
 }
--- a/core/src/main/java/dev/toucanstall/core/plan/PlanReducer.java
+++ b/core/src/main/java/dev/toucanstall/core/plan/PlanReducer.java
@@ -44,10 +44,12 @@
       case PlanEvent.MachinesRead read -> Maintenance.machinesRead(plan, read, now);
       case PlanEvent.MachinesUnknown unknown -> Maintenance.machinesUnknown(plan, unknown, now);
       case PlanEvent.Maintained maintained -> Maintenance.maintained(plan, maintained, now);
+      case PlanEvent.Moved moved -> PoolMoves.moved(plan, moved, now);
     }
     Maintenance.advance(plan, now);
     Evacuation.advance(plan, now);
     Placement.place(plan, now);
+    PoolMoves.advance(plan, now);
     ServerRules.renewLeases(plan, now);
     plan.ledger.flush(now, plan.emitter());
     return plan.takeEffects();
--- /dev/null
+++ b/core/src/main/java/dev/toucanstall/core/plan/PoolMoves.java
@@ -0,0 +1,286 @@
+package dev.toucanstall.core.plan;
+
+import dev.toucanstall.core.job.MachineEntry;
+import dev.toucanstall.core.job.Resources;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.function.Predicate;
+import java.util.stream.Collectors;
+import java.util.stream.Stream;
+
+/**
+ * Decides which machines change their pool: to a service whose queues ask for more than its pool
+ * holds, and to a spare pool once no service needs them. Only machines without tasks are moved.
+ */
+final class PoolMoves {
+
+  /** Time between two looks at the pools, in milliseconds. */
+  private static final long LOOK_MS = 100;
+
+  /** Time until a moved machine is in service at the latest, in milliseconds. */
+  private static final long ARRIVE_MS = 4_000;
+
+  /** Pause before an order that had no effect or no answer is given again, in milliseconds. */
+  private static final long RETRY_MS = 400;
+
+  /** Pause after a machine could not be moved or has been moved, in milliseconds. */
+  private static final long REST_MS = 2_000;
+
+  /** Latest time for an order without an answer to be carried out, in milliseconds. */
+  static final long LATE_ORDER_MS = 15_000;
+
+  /** How long a backend server is without tasks before its machine is spared, in milliseconds. */
+  private static final long IDLE_MS = 1_200;
+
+  /** The same in a pool that no job has been known for, in milliseconds. */
+  private static final long UNUSED_MS = 60_000;
+
+  /** A new planner first learns what runs, in milliseconds. */
+  private static final long SETTLE_MS = 1_500;
+
+  /** Machines that a pool keeps beyond what it needs when others are spared. */
+  private static final int RESERVE = 1;
+
+  /** A pool of this many machines gives none away. */
+  private static final int LEAST_POOL = 2;
+
+  private PoolMoves() {}
+
+  static void advance(Plan plan, Now now) {
+    if (now.steadyMs() - plan.confirmedMs() > PlanReducer.START_PERMISSION_MS) {
+      return;
+    }
+    List.copyOf(plan.moves.open.values()).forEach(move -> repeat(plan, move, now));
+    if (now.steadyMs() < plan.moves.nextLookMs) {
+      return;
+    }
+    plan.moves.nextLookMs = now.steadyMs() + LOOK_MS;
+    plan.servers.values().forEach(s -> s.noteUse(now.steadyMs()));
+    boolean settled = plan.listComplete && now.steadyMs() - plan.tookOverMs >= SETTLE_MS;
+    if (!settled) {
+      return;
+    }
+    List<Pool> pools = pools(plan, now);
+    boolean unknown =
+        pools.stream().flatMap(p -> p.servers.stream()).anyMatch(p -> nameless(plan, p));
+    if (!plan.machines.known || unknown) {
+      plan.machines.ask(plan, now);
+    }
+    if (plan.machines.known) {
+      pools.forEach(pool -> fill(plan, pool, pools, now));
+      pools.forEach(pool -> spare(plan, pool, now));
+    }
+  }
+
+  private static boolean nameless(Plan plan, Server server) {
+    return server.known && !plan.machines.byServer.containsKey(server.entry.id());
+  }
+
+  /** The services that queues name, the one that is shortest of machines first. */
+  private static List<Pool> pools(Plan plan, Now now) {
+    Set<String> services =
+        plan.catalog.named().values().stream().map(q -> q.service()).collect(Collectors.toSet());
+    return services.stream()
+        .filter(service -> !plan.catalog.spare().contains(service))
+        .map(service -> new Pool(plan, service, now))
+        .sorted(Comparator.comparingInt(Pool::surplus).thenComparing(pool -> pool.service))
+        .toList();
+  }
+
+  /** Has machines moved to a pool that is short of them. */
+  private static void fill(Plan plan, Pool pool, List<Pool> pools, Now now) {
+    while (pool.surplus() < 0) {
+      Optional<Source> source = source(plan, pool, pools, now);
+      if (source.isEmpty()) {
+        return;
+      }
+      source.get().taken().run();
+      pool.have++;
+      order(plan, source.get().machine(), pool.service, "asked for");
+    }
+  }
+
+  /** A machine that may be moved, and what else that changes. */
+  private record Source(MachineEntry machine, Runnable taken) {}
+
+  /**
+   * Machines without tasks in pools that need fewer come first, then those that are switched off.
+   */
+  private static Optional<Source> source(Plan plan, Pool to, List<Pool> pools, Now now) {
+    Stream<Source> idle =
+        pools.stream()
+            .filter(from -> from != to && from.mayLose(0))
+            .sorted(Comparator.comparingInt(from -> -from.surplus()))
+            .flatMap(from -> from.idle(now, 0).map(m -> new Source(m, () -> from.have--)));
+    Stream<Source> off =
+        plan.machines.listed.values().stream()
+            .filter(m -> plan.catalog.spare().contains(m.service()))
+            .map(m -> new Source(m, () -> {}));
+    Predicate<Source> movable = s -> movable(plan, s.machine(), to.service, now);
+    return Stream.concat(idle, off).filter(movable).findFirst();
+  }
+
+  private static boolean movable(Plan plan, MachineEntry machine, String service, Now now) {
+    String name = machine.name();
+    return !plan.moves.concerns(name)
+        && now.steadyMs() >= plan.moves.restUntilMs.getOrDefault(name, 0L)
+        && plan.moves.fits(name, service)
+        && plan.waves.values().stream().noneMatch(w -> w.handles(name));
+  }
+
+  /** Has machines switched off that a pool has not needed for a while. */
+  private static void spare(Plan plan, Pool pool, Now now) {
+    Optional<String> spare = plan.catalog.spare().stream().sorted().findFirst();
+    if (spare.isEmpty()) {
+      return;
+    }
+    boolean unused =
+        !plan.arrivals.any(pool.service)
+            && plan.openByService.getOrDefault(pool.service, Set.of()).isEmpty();
+    List<MachineEntry> idle =
+        pool.idle(now, unused ? UNUSED_MS : IDLE_MS)
+            .filter(m -> movable(plan, m, spare.get(), now))
+            .toList();
+    for (MachineEntry machine : idle) {
+      if (pool.mayLose(RESERVE)) {
+        pool.have--;
+        order(plan, machine, spare.get(), "not needed");
+      }
+    }
+  }
+
+  private static void order(Plan plan, MachineEntry machine, String service, String why) {
+    Server server = plan.servers.get(machine.server());
+    if (server != null) {
+      server.moving = true;
+    }
+    Moves.Move move = new Moves.Move(machine.name(), service, machine.server());
+    plan.moves.open.put(machine.name(), move);
+    plan.note(
+        "machine-moving",
+        "machine",
+        machine.name(),
+        "from",
+        machine.service(),
+        "to",
+        service,
+        "why",
+        why);
+    plan.ledger.other(plan.moves.record());
+    plan.ledger.afterStore((later, out) -> move.stored = true);
+  }
+
+  private static void repeat(Plan plan, Moves.Move move, Now now) {
+    if (move.stored && !move.asked && now.steadyMs() >= move.retryAfterMs) {
+      move.asked = true;
+      plan.emit(new PlanEffect.Move(move.machine, move.service, plan.epoch));
+    }
+  }
+
+  static void moved(Plan plan, PlanEvent.Moved event, Now now) {
+    Moves.Move move = plan.moves.open.get(event.machine());
+    if (move == null || !move.service.equals(event.service())) {
+      return;
+    }
+    move.asked = false;
+    move.retryAfterMs = now.steadyMs() + RETRY_MS;
+    plan.note("machine-moved", "machine", move.machine, "result", event.result().name());
+    switch (event.result()) {
+      case BEGUN -> begun(plan, move, now);
+      case FENCED -> plan.emit(new PlanEffect.Resign("a machine has seen a higher fencing token"));
+      case MAYBE -> move.uncertainUntilMs = now.steadyMs() + LATE_ORDER_MS;
+      case UNFIT -> {
+        plan.moves.markUnfit(move.machine, move.service);
+        giveUp(plan, move, now);
+      }
+      case BUSY, NOT_DONE -> {
+        if (now.steadyMs() >= move.uncertainUntilMs) {
+          giveUp(plan, move, now);
+        }
+      }
+    }
+  }
+
+  private static void begun(Plan plan, Moves.Move move, Now now) {
+    close(plan, move, now);
+    Server server = plan.servers.get(move.server);
+    if (server != null) {
+      ServerRules.died(plan, server, "its machine moves to another pool");
+    }
+    plan.machines.listed.put(move.machine, new MachineEntry(move.machine, move.service, true, ""));
+    if (!plan.catalog.spare().contains(move.service)) {
+      plan.moves.expect(move.machine, move.service, now.steadyMs() + ARRIVE_MS);
+    }
+  }
+
+  /** Nothing was done nor will be. */
+  private static void giveUp(Plan plan, Moves.Move move, Now now) {
+    close(plan, move, now);
+    Server server = plan.servers.get(move.server);
+    if (server != null) {
+      server.moving = false;
+      plan.wake(server);
+    }
+  }
+
+  private static void close(Plan plan, Moves.Move move, Now now) {
+    plan.moves.open.remove(move.machine);
+    plan.ledger.other(plan.moves.record());
+    long length = move.uncertainUntilMs > 0 ? LATE_ORDER_MS : REST_MS;
+    plan.moves.restUntilMs.put(move.machine, now.steadyMs() + length);
+  }
+
+  /** A service's backend servers and how many it needs. */
+  private static final class Pool {
+
+    final Plan plan;
+    final String service;
+    final List<Server> servers;
+    final int needed;
+    int have;
+
+    Pool(Plan plan, String service, Now now) {
+      this.plan = plan;
+      this.service = service;
+      this.servers =
+          plan.servers.values().stream()
+              .filter(s -> s.entry.service().equals(service) && works(s, now))
+              .toList();
+      this.needed = Demand.of(plan, service, now).machines(machineSize(plan));
+      this.have = servers.size() + plan.moves.incoming(service, now.steadyMs());
+    }
+
+    private static boolean works(Server server, Now now) {
+      return !server.unlisted
+          && !server.entry.draining()
+          && !server.evacuating
+          && !server.moving
+          && server.silentSinceMs == 0
+          && now.steadyMs() >= server.suspendedUntilMs;
+    }
+
+    private static Resources machineSize(Plan plan) {
+      return plan.servers.values().stream()
+          .map(s -> s.entry.capacity())
+          .max(Comparator.comparingLong(Resources::cpu))
+          .orElse(Resources.NONE);
+    }
+
+    int surplus() {
+      return have - needed;
+    }
+
+    boolean mayLose(int reserve) {
+      return surplus() > reserve && have > LEAST_POOL;
+    }
+
+    /** Machines whose backend server has had no task for a time. */
+    Stream<MachineEntry> idle(Now now, long forMs) {
+      return servers.stream()
+          .filter(s -> s.known && s.tasks.isEmpty() && now.steadyMs() - s.usedMs >= forMs)
+          .flatMap(s -> Optional.ofNullable(plan.machines.byServer.get(s.entry.id())).stream());
+    }
+  }
+}
--- a/core/src/main/java/dev/toucanstall/core/plan/Recovery.java
+++ b/core/src/main/java/dev/toucanstall/core/plan/Recovery.java
@@ -31,6 +31,7 @@
         case JobRecord.Progress progress -> restore(plan, progress, now);
         case JobRecord.WaveProgress progress ->
             plan.machines.begun(progress.wave()).addAll(progress.begun());
+        case JobRecord.OpenMoves open -> open.moves().forEach(m -> plan.moves.restore(m, now));
         case JobRecord.Forgotten forgotten -> plan.jobs.remove(forgotten.job());
       }
     }
--- a/core/src/main/java/dev/toucanstall/core/plan/Server.java
+++ b/core/src/main/java/dev/toucanstall/core/plan/Server.java
@@ -59,6 +59,12 @@
   /** Since when its tasks are being moved away, 0 if they are not. */
   long evacuatingSinceMs;
 
+  /** Whether its machine has been ordered to another pool. */
+  boolean moving;
+
+  /** When it was last seen with tasks. */
+  long usedMs;
+
   /** Failures in a row. */
   int failures;
 
@@ -69,6 +75,7 @@
     this.entry = entry;
     this.clockMs = entry.clockMs();
     this.clockReadMs = nowMs;
+    this.usedMs = nowMs;
   }
 
   void bind(Task task) {
@@ -81,6 +88,12 @@
     used = used.minus(task.step.reserved());
   }
 
+  void noteUse(long nowMs) {
+    if (!tasks.isEmpty()) {
+      usedMs = nowMs;
+    }
+  }
+
   Resources free() {
     return entry.capacity().minus(used);
   }
@@ -102,6 +115,7 @@
         && !unlisted
         && !entry.draining()
         && !evacuating
+        && !moving
         && silentSinceMs == 0
         && nowMs >= suspendedUntilMs;
   }
--- a/core/src/main/java/dev/toucanstall/core/plan/ServerRules.java
+++ b/core/src/main/java/dev/toucanstall/core/plan/ServerRules.java
@@ -45,7 +45,9 @@
     }
     if (known == null) {
       Server fresh = new Server(entry, now.steadyMs());
+      fresh.moving = plan.moves.ends(entry.id());
       plan.servers.put(entry.id(), fresh);
+      plan.moves.arrived(entry.service());
       noteServer(plan, "server-listed", fresh, entry.draining() ? "draining" : "ready");
       return;
     }
--- a/core/src/main/java/dev/toucanstall/core/plan/Wave.java
+++ b/core/src/main/java/dev/toucanstall/core/plan/Wave.java
@@ -36,6 +36,11 @@
     this.dueMs = nowMs + order.durationMs();
   }
 
+  /** Tells whether a machine is being emptied or maintained. */
+  boolean handles(String machine) {
+    return emptying.containsKey(machine) || ordered.contains(machine) || down.containsKey(machine);
+  }
+
   /** Counts the machines that are away, also those that an earlier planner has had maintained. */
   int away(Map<String, MachineEntry> listed) {
     Set<String> away = new HashSet<>(emptying.keySet());
--- a/core/src/test/java/dev/toucanstall/core/node/NodeTest.java
+++ b/core/src/test/java/dev/toucanstall/core/node/NodeTest.java
@@ -64,7 +64,10 @@
   private static Catalog catalog(long version, String key) {
     Queue queue = new Queue("q", "h", "/q/", "s", 0, 3, 2, 600, false, false);
     return Catalog.of(
-        version, List.of(queue), List.of(new Account("a", Set.of(key), 1, Resources.NONE)));
+        version,
+        List.of(queue),
+        List.of(new Account("a", Set.of(key), 1, Resources.NONE)),
+        Set.of());
   }
 
   private void readCatalog(Catalog catalog) {
--- a/core/src/test/java/dev/toucanstall/core/plan/FakeServer.java
+++ b/core/src/test/java/dev/toucanstall/core/plan/FakeServer.java
@@ -23,6 +23,7 @@
   record Run(long run, long startedMs, long endsMs) {}
 
   final String id;
+  final String machine;
   final String service;
   final Resources capacity;
   final long bornMs;
@@ -53,8 +54,15 @@
 
   private final Observer observer;
 
-  FakeServer(String id, String service, Resources capacity, long bornMs, Observer observer) {
+  FakeServer(
+      String id,
+      String machine,
+      String service,
+      Resources capacity,
+      long bornMs,
+      Observer observer) {
     this.id = id;
+    this.machine = machine;
     this.service = service;
     this.capacity = capacity;
     this.bornMs = bornMs;
--- a/core/src/test/java/dev/toucanstall/core/plan/PlanRandomTest.java
+++ b/core/src/test/java/dev/toucanstall/core/plan/PlanRandomTest.java
@@ -27,6 +27,8 @@
   private static void run(long seed) {
     PlanWorld world = new PlanWorld(seed);
     world.quota = new Resources(14_000, 0, 0);
+    world.weight = 10;
+    world.standby.addAll(List.of("m-off1", "m-off2"));
     for (int i = 0; i < 4; i++) {
       world.server("w" + i, 6_000);
     }
--- a/core/src/test/java/dev/toucanstall/core/plan/PlanTest.java
+++ b/core/src/test/java/dev/toucanstall/core/plan/PlanTest.java
@@ -387,8 +387,7 @@
             .map(e -> (PlanEffect.Start) e)
             .findFirst()
             .orElseThrow();
-    HoldResult withoutTheRun =
-        new HoldResult.Listed(world.now().steadyMs(), List.of(), List.of());
+    HoldResult withoutTheRun = new HoldResult.Listed(world.now().steadyMs(), List.of(), List.of());
     world.tell(
         new PlanEvent.Started(
             "w1",
@@ -396,8 +395,7 @@
             start.task(),
             start.run(),
             new OrderResult.Obeyed(world.now().steadyMs())));
-    world.tell(
-        new PlanEvent.Held("w1", server.bornMs, 0, world.now().steadyMs(), withoutTheRun));
+    world.tell(new PlanEvent.Held("w1", server.bornMs, 0, world.now().steadyMs(), withoutTheRun));
     world.run(1_000);
     assertThat(world.seen.stream().filter(e -> e instanceof PlanEffect.Start).count()).isEqualTo(1);
     assertThat(world.broken).isEmpty();
--- a/core/src/test/java/dev/toucanstall/core/plan/PlanWorld.java
+++ b/core/src/test/java/dev/toucanstall/core/plan/PlanWorld.java
@@ -19,6 +19,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
+import java.util.Optional;
 import java.util.PriorityQueue;
 import java.util.Random;
 import java.util.Set;
@@ -32,8 +33,10 @@
 final class PlanWorld implements FakeServer.Observer {
 
   static final String SERVICE = "s";
+  static final String OTHER_SERVICE = "t";
   static final String QUEUE = "q";
   static final String ACCOUNT = "a";
+  static final String SPARE = "spare";
 
   private static final long TICK_MS = 20;
   private static final long BEAT_MS = 500;
@@ -78,8 +81,12 @@
   final Map<Integer, Boolean> wavesTold = new HashMap<>();
   int parallel = 2;
   final Set<String> standby = new HashSet<>();
+  private final Set<String> onTheWay = new HashSet<>();
   final Set<String> maintained = new HashSet<>();
+  private final Map<String, Long> machineFences = new HashMap<>();
+  final List<PlanEffect.Move> moves = new ArrayList<>();
   Resources quota = Resources.NONE;
+  double weight = 1;
   double lost;
   double late;
   long taskMs = 300;
@@ -104,9 +111,10 @@
 
   Catalog catalog() {
     Queue queue = new Queue(QUEUE, "h", "/q/", SERVICE, 0, 3, 2, 600, false, false);
-    Account account = new Account(ACCOUNT, Set.of("key"), 1, quota);
+    Account account = new Account(ACCOUNT, Set.of("key"), weight, quota);
     Account other = new Account("b", Set.of("other"), 1, Resources.NONE);
-    return Catalog.of(1, List.of(queue), List.of(account, other));
+    Queue second = new Queue("r", "h", "/r/", OTHER_SERVICE, 0, 3, 2, 600, false, false);
+    return Catalog.of(1, List.of(queue, second), List.of(account, other), Set.of(SPARE));
   }
 
   void at(long inMs, Runnable action) {
@@ -149,7 +157,13 @@
   }
 
   FakeServer server(String id, long cpu) {
-    FakeServer server = new FakeServer(id, SERVICE, new Resources(cpu, 1_000_000, 0), nowMs, this);
+    return server(id, SERVICE, cpu);
+  }
+
+  /** Each backend server begins on a machine named after it. */
+  FakeServer server(String id, String service, long cpu) {
+    Resources capacity = new Resources(cpu, 1_000_000, 0);
+    FakeServer server = new FakeServer(id, "m-" + id, service, capacity, nowMs, this);
     servers.put(id, server);
     return server;
   }
@@ -246,34 +260,89 @@
         at(delay(), () -> from.tell(new PlanEvent.MachinesRead(asked, machines())));
       }
       case PlanEffect.Maintain maintain -> at(delay(), () -> maintain(from, maintain));
+      case PlanEffect.Move move -> move(from, move);
       case PlanEffect.TellWave told -> wavesTold.put(told.wave(), told.completed());
       case PlanEffect.Resign resign -> from.alive = false;
       default -> {}
     }
   }
 
-  /** Each backend server stands on a machine of its own, named after it. */
   private List<MachineEntry> machines() {
-    return Stream.concat(
-            servers.values().stream().map(s -> new MachineEntry("m-" + s.id, SERVICE, s.up, s.id)),
-            standby.stream().map(name -> new MachineEntry(name, "spare", true, "")))
+    return Stream.of(
+            servers.values().stream().map(s -> new MachineEntry(s.machine, s.service, s.up, s.id)),
+            standby.stream().map(name -> new MachineEntry(name, SPARE, true, "")),
+            onTheWay.stream().map(name -> new MachineEntry(name, SPARE, false, "")))
+        .flatMap(machines -> machines)
         .toList();
   }
 
+  private void move(Planner from, PlanEffect.Move order) {
+    moves.add(order);
+    boolean answerLost = random.nextDouble() < lost;
+    boolean late = answerLost && random.nextBoolean();
+    at(late ? 2_000 + random.nextInt(8_000) : delay(), () -> carryOut(order));
+    MachineResult result = answerLost ? MachineResult.MAYBE : result(order);
+    at(
+        answerLost ? 1_500 : 10,
+        () -> from.tell(new PlanEvent.Moved(order.machine(), order.service(), result)));
+  }
+
+  private MachineResult result(PlanEffect.Move order) {
+    if (order.fence() < machineFences.getOrDefault(order.machine(), 0L)) {
+      return MachineResult.FENCED;
+    }
+    machineFences.put(order.machine(), order.fence());
+    boolean down =
+        servers.values().stream().anyMatch(s -> s.machine.equals(order.machine()) && !s.up);
+    return down ? MachineResult.BUSY : MachineResult.BEGUN;
+  }
+
+  private void carryOut(PlanEffect.Move order) {
+    if (result(order) != MachineResult.BEGUN) {
+      return;
+    }
+    Optional<FakeServer> on =
+        servers.values().stream().filter(s -> s.machine.equals(order.machine())).findFirst();
+    if (on.isPresent() && on.get().service.equals(order.service())) {
+      return;
+    }
+    on.ifPresent(this::takeDown);
+    if (order.service().equals(SPARE)) {
+      standby.add(order.machine());
+    } else if (standby.remove(order.machine()) || on.isPresent()) {
+      onTheWay.add(order.machine());
+      at(1_500, () -> bringUp(order));
+    }
+  }
+
+  private void takeDown(FakeServer server) {
+    server.running.keySet().forEach(t -> broken.add("a move ends " + t));
+    server.crash();
+    servers.remove(server.id);
+  }
+
+  private void bringUp(PlanEffect.Move order) {
+    onTheWay.remove(order.machine());
+    String id = "n" + ++numbers;
+    Resources capacity = new Resources(10_000, 1_000_000, 0);
+    servers.put(id, new FakeServer(id, order.machine(), order.service(), capacity, nowMs, this));
+  }
+
   private void maintain(Planner from, PlanEffect.Maintain order) {
     maintained.add(order.machine());
     long down = servers.values().stream().filter(s -> !s.up).count();
     if (down >= parallel) {
       broken.add(order.machine() + " is maintained beside " + down + " others");
     }
-    if (!standby.contains(order.machine())) {
-      restart(get(order.machine().substring(2)));
-    }
+    servers.values().stream()
+        .filter(s -> s.machine.equals(order.machine()))
+        .findFirst()
+        .ifPresent(this::restart);
     at(
         delay(),
         () ->
             from.tell(
-                new PlanEvent.Maintained(order.wave(), order.machine(), MaintainResult.BEGUN)));
+                new PlanEvent.Maintained(order.wave(), order.machine(), MachineResult.BEGUN)));
   }
 
   private void restart(FakeServer server) {
@@ -320,6 +389,7 @@
       }
       case JobRecord.Forgotten f -> stored.remove("p/" + f.job());
       case JobRecord.WaveProgress w -> stored.put("w/" + w.wave(), w);
+      case JobRecord.OpenMoves m -> stored.put("moves", m);
     }
   }
 
--- a/entry/src/main/java/dev/toucanstall/entry/node/NodeRunner.java
+++ b/entry/src/main/java/dev/toucanstall/entry/node/NodeRunner.java
@@ -197,6 +197,10 @@
                   tell(
                       epoch,
                       new PlanEvent.Maintained(maintain.wave(), maintain.machine(), result)));
+      case PlanEffect.Move move ->
+          machines.move(
+              move,
+              result -> tell(epoch, new PlanEvent.Moved(move.machine(), move.service(), result)));
       case PlanEffect.TellWave tellWave -> status.tell(tellWave);
       case PlanEffect.Answer answer -> throw new IllegalArgumentException("answer in a plan");
       case PlanEffect.Resign resign -> throw new IllegalArgumentException("resign in a plan");
--- a/wire/src/test/java/dev/toucanstall/wire/job/JobCodecTest.java
+++ b/wire/src/test/java/dev/toucanstall/wire/job/JobCodecTest.java
@@ -59,7 +59,8 @@
                     0, 1, 2, TaskPhase.ORDERED, 3, "i-1", "10.0.0.1:80", 7, 1, "saved"))),
         new JobRecord.Closed("j", "q", JobPhase.CANCELLED, 9),
         new JobRecord.Forgotten("j"),
-        new JobRecord.WaveProgress(1, List.of("m-1")));
+        new JobRecord.WaveProgress(1, List.of("m-1")),
+        new JobRecord.OpenMoves(List.of(new JobRecord.MachineMove("m-1", "s", "i-1"))));
   }
 
   static Stream<NodeMessage> messages() {
