--- a/core/src/main/java/dev/toucanstall/core/plan/Demand.java
+++ b/core/src/main/java/dev/toucanstall/core/plan/Demand.java
@@ -74,7 +74,7 @@
         lasting = lasting.plus(Load.of(step.reserved()).times(bound + waiting));
       } else {
         double work = (double) waiting * plan.durations.expectMs(job.queue, step);
-        backlog = backlog.plus(Load.of(step.reserved()).times(work / drainMs(job)));
+        backlog = backlog.plus(Load.of(step.reserved()).times(work / (double) drainMs(job)));
       }
     }
 
--- a/core/src/main/java/dev/toucanstall/core/plan/PoolMoves.java
+++ b/core/src/main/java/dev/toucanstall/core/plan/PoolMoves.java
@@ -195,7 +195,7 @@
         plan.moves.markUnfit(move.machine, move.service);
         giveUp(plan, move, now);
       }
-      case BUSY, NOT_DONE -> {
+      default -> {
         if (now.steadyMs() >= move.uncertainUntilMs) {
           giveUp(plan, move, now);
         }
--- a/core/src/test/java/dev/toucanstall/core/plan/PlanWorld.java
+++ b/core/src/test/java/dev/toucanstall/core/plan/PlanWorld.java
@@ -280,7 +280,7 @@
     moves.add(order);
     boolean answerLost = random.nextDouble() < lost;
     boolean late = answerLost && random.nextBoolean();
-    at(late ? 2_000 + random.nextInt(8_000) : delay(), () -> carryOut(order));
+    at(late ? 2_000 + random.nextInt(8_000) : delay(), () -> moveNow(order));
     MachineResult result = answerLost ? MachineResult.MAYBE : result(order);
     at(
         answerLost ? 1_500 : 10,
@@ -297,7 +297,7 @@
     return down ? MachineResult.BUSY : MachineResult.BEGUN;
   }
 
-  private void carryOut(PlanEffect.Move order) {
+  private void moveNow(PlanEffect.Move order) {
     if (result(order) != MachineResult.BEGUN) {
       return;
     }
