Keep to the lists of a later life under the same id

Cause: a backend server that starts again under its id counts its ends and its clock anew. The planner took its lists for those of the earlier life, passed over its ends, and acknowledged numbers that it had not seen. Change: lists name the life; a later one resets what was counted, and tasks are freed by its lists only, as starts that are under way may reach it. A store's confirmation counts for the life that it was asked for. Not covered: orders carried out seconds late, and renewals, that reach a later life under the same id.

--- a/core/src/main/java/dev/toucanstall/core/job/ServerEntry.java
+++ b/core/src/main/java/dev/toucanstall/core/job/ServerEntry.java
@@ -31,4 +31,15 @@
   public ServerEntry {
     labels = Set.copyOf(labels);
   }
+
+  /**
+   * Returns the entry of another life under the same id.
+   *
+   * @param otherBornMs when that life began, Unix milliseconds
+   * @return the entry
+   */
+  public ServerEntry withLife(long otherBornMs) {
+    return new ServerEntry(
+        id, otherBornMs, service, address, dataCentre, draining, capacity, labels, 0);
+  }
 }
--- a/core/src/main/java/dev/toucanstall/core/plan/HoldResult.java
+++ b/core/src/main/java/dev/toucanstall/core/plan/HoldResult.java
@@ -10,11 +10,12 @@
   /**
    * The lists.
    *
+   * @param bornMs when the life that made them began, Unix milliseconds, 0 if not told
    * @param clockMs the backend server's clock
    * @param running the runs that are present
    * @param ended the ends that it was not told to forget, oldest first
    */
-  record Listed(long clockMs, List<RunningTask> running, List<TaskEnd> ended)
+  record Listed(long bornMs, long clockMs, List<RunningTask> running, List<TaskEnd> ended)
       implements HoldResult {}
 
   /**
--- a/core/src/main/java/dev/toucanstall/core/plan/HoldRules.java
+++ b/core/src/main/java/dev/toucanstall/core/plan/HoldRules.java
@@ -42,6 +42,8 @@
     }
     server.holding = false;
     switch (held.result()) {
+      case HoldResult.Listed listed when listed.bornMs() > held.bornMs() ->
+          ServerRules.reborn(plan, server, server.entry.withLife(listed.bornMs()), now);
       case HoldResult.Listed listed -> listed(plan, server, held, listed, now);
       case HoldResult.Failed failed -> failed(plan, server, failed.why(), now);
     }
@@ -102,8 +104,9 @@
 
   private static void storeEnds(Plan plan, Server server) {
     long upTo = server.appliedEnds;
+    long life = server.entry.bornMs();
     if (upTo > server.storedEnds) {
-      plan.ledger.afterStore((now, out) -> server.storedEnds = Math.max(server.storedEnds, upTo));
+      plan.ledger.afterStore((now, out) -> server.endsStored(life, upTo));
     }
   }
 
--- a/core/src/main/java/dev/toucanstall/core/plan/OrderRules.java
+++ b/core/src/main/java/dev/toucanstall/core/plan/OrderRules.java
@@ -84,13 +84,16 @@
 
   static void started(Plan plan, PlanEvent.Started started, Now now) {
     Server server = plan.servers.get(started.server());
-    if (server == null || server.entry.bornMs() != started.bornMs()) {
+    if (server == null) {
       return;
     }
+    boolean sameLife = server.entry.bornMs() == started.bornMs();
     Optional<Task> task = bound(server, started.task(), started.run());
     switch (started.result()) {
       case OrderResult.Obeyed obeyed -> {
-        server.readClock(obeyed.clockMs(), now.steadyMs());
+        if (sameLife) {
+          server.readClock(obeyed.clockMs(), now.steadyMs());
+        }
         task.ifPresent(t -> confirmed(t, now));
       }
       case OrderResult.Rejected rejected -> rejected(plan, server, task, rejected, now);
@@ -98,7 +101,9 @@
           ServerRules.died(plan, server, "another life answers");
       case OrderResult.ConnectionRefused refused -> {
         task.ifPresent(t -> notStarted(plan, t));
-        ServerRules.connectionRefused(plan, server);
+        if (sameLife) {
+          ServerRules.connectionRefused(plan, server);
+        }
       }
       case OrderResult.Unanswered unanswered ->
           task.ifPresent(t -> unanswered(plan, server, t, now));
@@ -125,9 +130,6 @@
         task.map(t -> t.key.toString()).orElse(""),
         "reason",
         rejected.reason().name());
-    if (rejected.clockMs() > 0) {
-      server.readClock(rejected.clockMs(), now.steadyMs());
-    }
     switch (rejected.reason()) {
       case FENCED -> {
         plan.emit(new PlanEffect.Resign("a backend server has seen a higher fencing token"));
@@ -167,16 +169,13 @@
 
   static void stopped(Plan plan, PlanEvent.Stopped stopped, Now now) {
     Server server = plan.servers.get(stopped.server());
-    if (server == null || server.entry.bornMs() != stopped.bornMs()) {
+    if (server == null) {
       return;
     }
     Optional<Task> task =
         bound(server, stopped.task(), stopped.run()).filter(t -> t.phase == TaskPhase.STOPPING);
     switch (stopped.result()) {
-      case OrderResult.Obeyed obeyed -> {
-        server.readClock(obeyed.clockMs(), now.steadyMs());
-        task.ifPresent(t -> t.settledMs = now.steadyMs());
-      }
+      case OrderResult.Obeyed obeyed -> task.ifPresent(t -> t.settledMs = now.steadyMs());
       case OrderResult.Rejected rejected when rejected.reason() == OrderResult.Reason.FENCED ->
           plan.emit(new PlanEffect.Resign("a backend server has seen a higher fencing token"));
       case OrderResult.Rejected rejected -> task.ifPresent(t -> t.settledMs = now.steadyMs());
--- a/core/src/main/java/dev/toucanstall/core/plan/Server.java
+++ b/core/src/main/java/dev/toucanstall/core/plan/Server.java
@@ -2,6 +2,7 @@
 
 import dev.toucanstall.core.job.Resources;
 import dev.toucanstall.core.job.ServerEntry;
+import dev.toucanstall.core.job.TaskPhase;
 import java.util.LinkedHashSet;
 import java.util.Set;
 
@@ -78,6 +79,32 @@
     this.usedMs = nowMs;
   }
 
+  /**
+   * Begins another life under the same id: it counts its ends anew, and what ran before is gone
+   * unless its lists show otherwise.
+   */
+  void beginLife(ServerEntry life, long nowMs) {
+    entry = life;
+    known = false;
+    holding = false;
+    holdAfterMs = 0;
+    connectionsRefused = 0;
+    storedEnds = 0;
+    acknowledgedEnds = 0;
+    appliedEnds = 0;
+    readClock(life.clockMs(), nowMs);
+    tasks.stream()
+        .filter(t -> t.phase != TaskPhase.ORDERED)
+        .forEach(t -> t.settledMs = t.stopSent ? t.settledMs : nowMs);
+  }
+
+  /** The ends of a life up to a number are stored; another life has numbers of its own. */
+  void endsStored(long bornMs, long upTo) {
+    if (entry.bornMs() == bornMs) {
+      storedEnds = Math.max(storedEnds, upTo);
+    }
+  }
+
   void bind(Task task) {
     tasks.add(task);
     used = used.plus(task.step.reserved());
--- a/core/src/main/java/dev/toucanstall/core/plan/ServerRules.java
+++ b/core/src/main/java/dev/toucanstall/core/plan/ServerRules.java
@@ -40,8 +40,7 @@
       if (known.entry.bornMs() > entry.bornMs()) {
         return;
       }
-      died(plan, known, "a later life lists itself");
-      known = null;
+      reborn(plan, known, entry, now);
     }
     if (known == null) {
       Server fresh = new Server(entry, now.steadyMs());
@@ -82,6 +81,15 @@
     new ArrayList<>(server.tasks).forEach(plan::release);
   }
 
+  /**
+   * A later life under the same id answers or lists itself. Starts that are under way may reach it,
+   * so tasks are freed by its lists only.
+   */
+  static void reborn(Plan plan, Server server, ServerEntry life, Now now) {
+    server.beginLife(life, now.steadyMs());
+    noteServer(plan, "server-reborn", server, "tasks " + server.tasks.size());
+  }
+
   static void noteServer(Plan plan, String event, Server server, String why) {
     plan.note(
         event,
