Pack tasks, so that machines that a queue does not need go idle

Ruled out: too long an idle time (the pools never came below five machines). Change: the fullest backend server with room goes first; at most half of a lasting step on one; filling tasks away from lasting ones they would disturb.

--- a/core/src/main/java/dev/toucanstall/core/plan/Placement.java
+++ b/core/src/main/java/dev/toucanstall/core/plan/Placement.java
@@ -186,12 +186,21 @@
       return step.stream().filter(t -> t.server == server).count() < spec.perServer();
     }
 
-    /** Prefers backend servers that it has not failed on, near its data, with much room. */
+    /**
+     * Prefers backend servers that it has not failed on, near its data, away from tasks that would
+     * disturb it or be disturbed, and little free, so that machines that are not needed go idle.
+     */
     private long score(List<Task> step, Task task, Server server) {
-      long score = server.free().cpu();
+      long score = -server.free().cpu();
       if (task.avoid.contains(server.entry.id())) {
         score -= 1_000_000_000L;
       }
+      if (server.tasks.stream().anyMatch(t -> disturbs(task, t))) {
+        score -= 100_000_000L;
+      }
+      if (task.step.lasting() && holdsHalf(step, server)) {
+        score -= 20_000_000L;
+      }
       if (task.step.lasting() && Maintenance.awaitsMaintenance(plan, server)) {
         score -= 10_000_000L;
       }
@@ -204,6 +213,19 @@
       return score;
     }
 
+    /** No more than half of a lasting step goes to one backend server if another has room. */
+    private static boolean holdsHalf(List<Task> step, Server server) {
+      long there = step.stream().filter(t -> t.server == server).count();
+      return step.size() > 1 && 2 * (there + 1) > step.size() + 1;
+    }
+
+    /** Tasks that fill disturb lasting ones that serve users of their own. */
+    private static boolean disturbs(Task one, Task other) {
+      boolean fills = one.step.fills() != other.step.fills();
+      Task serves = one.step.fills() ? other : one;
+      return fills && serves.step.lasting();
+    }
+
     private boolean sharesRack(List<Task> step, Server server) {
       return step.stream()
           .map(t -> t.server)
--- /dev/null
+++ b/core/src/test/java/dev/toucanstall/core/plan/PlacementTest.java
@@ -0,0 +1,76 @@
+package dev.toucanstall.core.plan;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import dev.toucanstall.core.job.Resources;
+import dev.toucanstall.core.job.StepSpec;
+import java.util.List;
+import java.util.stream.Stream;
+import org.junit.jupiter.api.Test;
+
+/** Each test is named for the pattern of load that it brings about. */
+final class PlacementTest {
+
+  private static PlanWorld world() {
+    PlanWorld world = new PlanWorld(1);
+    Stream.of("w1", "w2", "w3", "w4").forEach(id -> world.server(id, 10_000));
+    world.elect();
+    world.run(200);
+    return world;
+  }
+
+  private static long inUse(PlanWorld world) {
+    return world.servers.values().stream().filter(s -> !s.running.isEmpty()).count();
+  }
+
+  @Test
+  void calmQueueUsesOneServer() {
+    PlanWorld world = world();
+    world.taskMs = 1_000;
+    world.submit("j", PlanWorld.step(4, 1_000));
+    world.submit("k", PlanWorld.step(4, 1_000));
+    world.run(300);
+    assertThat(inUse(world)).isEqualTo(1);
+  }
+
+  @Test
+  void halfOfLastingStepOutlivesOneServer() {
+    PlanWorld world = world();
+    world.submit("j", PlanWorld.lasting(5, 1_000, 0));
+    world.run(300);
+    assertThat(inUse(world)).isEqualTo(2);
+    assertThat(world.servers.values().stream().mapToInt(s -> s.running.size()).max().orElse(0))
+        .isEqualTo(3);
+  }
+
+  @Test
+  void fillingTasksKeepAwayFromLastingOnes() {
+    PlanWorld world = world();
+    world.submit("serves", PlanWorld.lasting(2, 1_000, 0));
+    world.run(300);
+    StepSpec fills =
+        new StepSpec(
+            2,
+            new Resources(5_000, 100, 0),
+            0,
+            List.of(),
+            false,
+            false,
+            false,
+            "",
+            "",
+            0,
+            false,
+            true,
+            "",
+            0,
+            true,
+            1);
+    world.submit("fills", fills);
+    world.run(300);
+    assertThat(
+            world.servers.values().stream()
+                .map(s -> s.running.keySet().stream().map(t -> t.job()).distinct().count()))
+        .containsExactly(1L, 1L, 1L, 1L);
+  }
+}
