Look at all queues once for many events, and rank jobs once a pass

Cause: after each event the planner sorted all open jobs, working out what is left of each job for every comparison. Change: a pass at most every 4 ms, later with many open jobs; a job's rank is worked out once; loops on the path of each task. Found by a test on the way: a silent backend server that had lost its tasks was not asked again for 6 s (silentServerThatLostItsTasks...). Test of the load: burstOfCallsSharesPasses.

--- a/core/src/main/java/dev/toucanstall/core/plan/JobRules.java
+++ b/core/src/main/java/dev/toucanstall/core/plan/JobRules.java
@@ -64,11 +64,14 @@
 
   private static long leftMs(Plan plan, Job job, List<Task> step, Now now) {
     long expected = plan.durations.expectMs(job.queue, step.getFirst().step);
-    return step.stream()
-        .filter(t -> t.phase != TaskPhase.DONE)
-        .mapToLong(t -> t.phase.bound() ? expected - (now.steadyMs() - t.orderedMs) : expected)
-        .max()
-        .orElse(0);
+    long left = 0;
+    for (Task task : step) {
+      if (task.phase != TaskPhase.DONE) {
+        long ran = task.phase.bound() ? now.steadyMs() - task.orderedMs : 0;
+        left = Math.max(left, expected - ran);
+      }
+    }
+    return left;
   }
 
   private static long longest(Job job, IntToLongFunction length) {
--- a/core/src/main/java/dev/toucanstall/core/plan/Placement.java
+++ b/core/src/main/java/dev/toucanstall/core/plan/Placement.java
@@ -41,34 +41,38 @@
       return;
     }
     Round round = new Round(plan, servers, now);
-    List<Job> ordered =
-        open.stream().filter(j -> !j.phase.ended()).sorted(order(plan, now)).toList();
-    ordered.forEach(round::place);
+    open.stream()
+        .filter(j -> !j.phase.ended())
+        .map(j -> Ranked.of(plan, j, now))
+        .sorted(Ranked.ORDER)
+        .forEach(r -> round.place(r.job()));
   }
 
-  /**
-   * Lasting work first, then accounts within their share, then what can still meet its objective,
-   * by objective.
-   */
-  private static Comparator<Job> order(Plan plan, Now now) {
-    return Comparator.comparingInt((Job j) -> priority(plan, j))
-        .thenComparing(j -> !j.spec.lasting())
-        .thenComparing(j -> j.beyondShare)
-        .thenComparing(j -> late(plan, j, now))
-        .thenComparingLong(j -> j.objectiveMs);
-  }
+  /** A job with what decides its turn, worked out once a pass. */
+  private record Ranked(
+      Job job, int priority, boolean lasting, boolean beyondShare, boolean late, long objectiveMs) {
 
-  private static int priority(Plan plan, Job job) {
-    Queue queue = plan.queue(job);
-    return queue == null ? Integer.MAX_VALUE : queue.priority();
-  }
+    /**
+     * Lasting work first, then accounts within their share, then what can still meet its objective,
+     * by objective.
+     */
+    static final Comparator<Ranked> ORDER =
+        Comparator.comparingInt(Ranked::priority)
+            .thenComparing(r -> !r.lasting)
+            .thenComparing(Ranked::beyondShare)
+            .thenComparing(Ranked::late)
+            .thenComparingLong(Ranked::objectiveMs);
 
-  private static boolean late(Plan plan, Job job, Now now) {
-    long ahead =
-        job.phase == JobPhase.PENDING
-            ? JobRules.chainMs(plan, job)
-            : JobRules.chainLeftMs(plan, job, now);
-    return now.wallMs() + ahead > job.objectiveMs;
+    static Ranked of(Plan plan, Job job, Now now) {
+      Queue queue = plan.queue(job);
+      int priority = queue == null ? Integer.MAX_VALUE : queue.priority();
+      long ahead =
+          job.phase == JobPhase.PENDING
+              ? JobRules.chainMs(plan, job)
+              : JobRules.chainLeftMs(plan, job, now);
+      boolean late = now.wallMs() + ahead > job.objectiveMs;
+      return new Ranked(job, priority, job.spec.lasting(), job.beyondShare, late, job.objectiveMs);
+    }
   }
 
   /** One pass over the queue of a service. */
@@ -94,8 +98,7 @@
       for (int k = 0; k < job.occurrences.size(); k++) {
         List<List<Task>> steps = job.occurrences.get(k);
         for (int s = 0; s < steps.size(); s++) {
-          List<Task> waiting =
-              steps.get(s).stream().filter(t -> t.phase == TaskPhase.WAITING).toList();
+          List<Task> waiting = waiting(steps.get(s));
           if (!waiting.isEmpty() && job.open(k, s, now.wallMs())) {
             place(job, steps.get(s), waiting);
           }
@@ -120,6 +123,17 @@
       }
     }
 
+    private static List<Task> waiting(List<Task> step) {
+      List<Task> waiting = List.of();
+      for (Task task : step) {
+        if (task.phase == TaskPhase.WAITING) {
+          waiting = waiting.isEmpty() ? new ArrayList<>(step.size()) : waiting;
+          waiting.add(task);
+        }
+      }
+      return waiting;
+    }
+
     private boolean withinQuota(Job job, Resources need) {
       return plan.quotas.used(job.account).plus(need).keeps(plan.quota(job.account));
     }
@@ -163,16 +177,29 @@
 
     private Optional<Server> choose(List<Task> step, Task task) {
       Resources need = task.step.reserved();
-      if (tooLarge.stream().anyMatch(n -> n.fitsInto(need))) {
-        return Optional.empty();
+      for (Resources hopeless : tooLarge) {
+        if (hopeless.fitsInto(need)) {
+          return Optional.empty();
+        }
+      }
+      boolean room = false;
+      Server best = null;
+      long most = Long.MIN_VALUE;
+      for (Server server : servers) {
+        if (!need.fitsInto(server.free())) {
+          continue;
+        }
+        room = true;
+        long score = allowed(step, task, server) ? score(step, task, server) : Long.MIN_VALUE;
+        if (score > most) {
+          best = server;
+          most = score;
+        }
       }
-      List<Server> roomy = servers.stream().filter(s -> need.fitsInto(s.free())).toList();
-      if (roomy.isEmpty()) {
+      if (!room) {
         tooLarge.add(need);
       }
-      return roomy.stream()
-          .filter(s -> allowed(step, task, s))
-          .max(Comparator.comparingLong(s -> score(step, task, s)));
+      return Optional.ofNullable(best);
     }
 
     private boolean allowed(List<Task> step, Task task, Server server) {
--- a/core/src/main/java/dev/toucanstall/core/plan/Plan.java
+++ b/core/src/main/java/dev/toucanstall/core/plan/Plan.java
@@ -22,6 +22,12 @@
  */
 public final class Plan {
 
+  /** Shortest time between two passes over all queues and backend servers, in milliseconds. */
+  private static final long PASS_GAP_MS = 4;
+
+  /** A pass costs more with each open job; so many lengthen the time between two by 1 ms. */
+  private static final int JOBS_PER_GAP_MS = 25;
+
   final long epoch;
   final Ledger ledger;
   final Quotas quotas = new Quotas();
@@ -41,6 +47,10 @@
   Catalog catalog;
   boolean listComplete;
   long nextSweepMs;
+  private long nextPassMs;
+
+  /** How many passes were made. */
+  long passes;
 
   /** When the backend servers were last given time to answer a new planner. */
   final long tookOverMs;
@@ -96,6 +106,16 @@
     return openByService.values().stream().mapToInt(Set::size).sum();
   }
 
+  /** Tells whether it is time for a pass, and begins the time to the next. */
+  boolean passDue(Now now) {
+    if (now.steadyMs() < nextPassMs) {
+      return false;
+    }
+    passes++;
+    nextPassMs = now.steadyMs() + PASS_GAP_MS + openJobs() / JOBS_PER_GAP_MS;
+    return true;
+  }
+
   List<PlanEffect> takeEffects() {
     List<PlanEffect> taken = out;
     out = new ArrayList<>();
--- a/core/src/main/java/dev/toucanstall/core/plan/PlanReducer.java
+++ b/core/src/main/java/dev/toucanstall/core/plan/PlanReducer.java
@@ -46,12 +46,19 @@
       case PlanEvent.Maintained maintained -> Maintenance.maintained(plan, maintained, now);
       case PlanEvent.Moved moved -> PoolMoves.moved(plan, moved, now);
     }
+    if (plan.passDue(now)) {
+      pass(plan, now);
+    }
+    plan.ledger.flush(now, plan.emitter());
+    return plan.takeEffects();
+  }
+
+  /** Looks at all queues and backend servers that have changed. */
+  private static void pass(Plan plan, Now now) {
     Maintenance.advance(plan, now);
     Evacuation.advance(plan, now);
     Placement.place(plan, now);
     PoolMoves.advance(plan, now);
     ServerRules.renewLeases(plan, now);
-    plan.ledger.flush(now, plan.emitter());
-    return plan.takeEffects();
   }
 }
--- a/core/src/main/java/dev/toucanstall/core/plan/ServerRules.java
+++ b/core/src/main/java/dev/toucanstall/core/plan/ServerRules.java
@@ -144,7 +144,10 @@
     if (server.appliedEnds > server.storedEnds) {
       return false;
     }
-    return !server.known || !server.tasks.isEmpty() || server.storedEnds > server.acknowledgedEnds;
+    return !server.known
+        || server.silentSinceMs > 0
+        || !server.tasks.isEmpty()
+        || server.storedEnds > server.acknowledgedEnds;
   }
 
   /** A lasting task whose start-up must be seen to end. */
--- a/core/src/test/java/dev/toucanstall/core/plan/PlacementTest.java
+++ b/core/src/test/java/dev/toucanstall/core/plan/PlacementTest.java
@@ -2,9 +2,11 @@
 
 import static com.google.common.truth.Truth.assertThat;
 
+import dev.toucanstall.core.job.JobAnswer;
 import dev.toucanstall.core.job.Resources;
 import dev.toucanstall.core.job.StepSpec;
 import java.util.List;
+import java.util.Objects;
 import java.util.stream.Stream;
 import org.junit.jupiter.api.Test;
 
@@ -73,4 +75,17 @@
                 .map(s -> s.running.keySet().stream().map(t -> t.job()).distinct().count()))
         .containsExactly(1L, 1L, 1L, 1L);
   }
+
+  @Test
+  void burstOfCallsSharesPasses() {
+    PlanWorld world = world();
+    Plan plan = Objects.requireNonNull(world.planner).plan;
+    final long before = plan.passes;
+    for (int i = 0; i < 400; i++) {
+      world.submit("j" + i, PlanWorld.step(4, 1_000));
+    }
+    world.run(20);
+    assertThat(plan.passes - before).isAtMost(3L);
+    assertThat(world.answers.values()).contains(new JobAnswer.Accepted());
+  }
 }
--- a/core/src/test/java/dev/toucanstall/core/plan/PlanTest.java
+++ b/core/src/test/java/dev/toucanstall/core/plan/PlanTest.java
@@ -421,4 +421,22 @@
     assertThat(runningOf(world, "k")).isEqualTo(2);
     assertThat(world.broken).isEmpty();
   }
+
+  @Test
+  void silentServerThatLostItsTasksIsUsedAgainOnceItAnswers() {
+    PlanWorld world = new PlanWorld(1);
+    final FakeServer server = world.server("w1", 10_000);
+    world.elect();
+    world.run(200);
+    world.submit("j", PlanWorld.step(1, 1_000));
+    world.run(5);
+    server.reachable = false;
+    world.run(1_500);
+    world.call(new JobCall.Cancel("j", PlanWorld.QUEUE));
+    server.reachable = true;
+    world.run(100);
+    world.submit("k", PlanWorld.step(1, 1_000));
+    world.run(1_500);
+    assertThat(show(world, "k")).isEqualTo(new JobAnswer.Shown(JobPhase.COMPLETED));
+  }
 }
