--- a/entry/src/main/java/dev/toucanstall/entry/node/PlannerLink.java
+++ b/entry/src/main/java/dev/toucanstall/entry/node/PlannerLink.java
@@ -22,10 +22,10 @@
   private static final Logger LOG = LogManager.getLogger(PlannerLink.class);
   private static final int CONNECT_MILLIS = 500;
 
-  /** The other end answers a ping each 300 ms; after this silence the link is given up. */
-  private static final int SILENT_MILLIS = 1_300;
+  /** The other end answers a ping each 200 ms; after this silence the link is given up. */
+  private static final int SILENT_MILLIS = 900;
 
-  private static final long PING_MILLIS = 300;
+  private static final long PING_MILLIS = 200;
   private static final long PAUSE_MILLIS = 200;
 
   private final Consumer<NodeEvent> events;
@@ -41,11 +41,14 @@
     Thread.ofPlatform().name("planner-dial").daemon().start(this::dial);
   }
 
-  /** Links to another planner from now on. */
+  /** Links to another planner from now on; a link to the same address stays in use. */
   void follow(Address next) {
+    boolean same = next.equals(planner);
     planner = next;
     FrameLink old = link;
-    if (old != null) {
+    if (old != null && same) {
+      events.accept(new NodeEvent.LinkUp(next));
+    } else if (old != null) {
       old.close();
     }
   }
