Let a call wait up to 0.8 s for the next planner before it is refused

Cause: while a planner was being replaced, every call was refused at once and told to come back in a second, though the next planner mostly stands within half a second. Change: a call without a planner waits, within its deadline, and is refused after 0.8 s.

--- a/core/src/main/java/dev/toucanstall/core/node/Delivery.java
+++ b/core/src/main/java/dev/toucanstall/core/node/Delivery.java
@@ -20,12 +20,16 @@
 
   private static final long SHORTEST_WAIT_MS = 200;
 
+  /** How long a call waits for the next planner, in milliseconds: longer than an election takes. */
+  static final long NEXT_PLANNER_MS = 800;
+
   private Delivery() {}
 
   static void deliver(Node node, long ticket, JobCall call, long waitMs, Now now) {
     long wait = Math.clamp(waitMs - WAY_BACK_MS, SHORTEST_WAIT_MS, LONGEST_WAIT_MS);
     Pending pending = new Pending(call, now.steadyMs() + wait);
-    if (node.plan == null && !node.leaderReachable && !node.linking) {
+    pending.waitUntilMs = now.steadyMs() + NEXT_PLANNER_MS;
+    if (node.plan == null && node.leader == null) {
       refuse(node, ticket, call);
       return;
     }
@@ -78,7 +82,7 @@
     }
   }
 
-  static void declined(Node node, long ticket, boolean taken) {
+  static void declined(Node node, long ticket, boolean taken, Now now) {
     Pending pending = node.pending.get(ticket);
     if (pending == null) {
       return;
@@ -90,8 +94,8 @@
     if (taken || pending.taken) {
       pending.lose();
     } else {
-      node.pending.remove(ticket);
-      refuse(node, ticket, pending.call);
+      pending.asked = null;
+      pending.waitUntilMs = now.steadyMs() + NEXT_PLANNER_MS;
     }
   }
 
@@ -118,15 +122,12 @@
     node.pending.values().stream()
         .filter(p -> down.address().equals(p.asked))
         .forEach(Pending::lose);
-    if (!node.linking) {
-      refuseUnsent(node);
-    }
   }
 
-  /** Refuses at once what no planner can have stored, now that none is known. */
-  private static void refuseUnsent(Node node) {
+  /** Refuses what no planner can have stored, as the next one has not come in time. */
+  private static void refuseUnsent(Node node, Now now) {
     List.copyOf(node.pending.entrySet()).stream()
-        .filter(e -> e.getValue().unsent())
+        .filter(e -> e.getValue().unsent() && now.steadyMs() >= e.getValue().waitUntilMs)
         .forEach(
             e -> {
               node.pending.remove(e.getKey());
@@ -136,6 +137,7 @@
 
   /** Ends the wait of calls whose time is up. */
   static void expire(Node node, Now now) {
+    refuseUnsent(node, now);
     List<Map.Entry<Long, Pending>> late =
         node.pending.entrySet().stream()
             .filter(e -> now.steadyMs() >= e.getValue().deadlineMs)
--- a/core/src/main/java/dev/toucanstall/core/node/NodeReducer.java
+++ b/core/src/main/java/dev/toucanstall/core/node/NodeReducer.java
@@ -32,7 +32,7 @@
       case NodeEvent.PeerAnswered answered ->
           Delivery.answered(node, answered.ticket(), answered.answer());
       case NodeEvent.PeerDeclined declined ->
-          Delivery.declined(node, declined.ticket(), declined.taken());
+          Delivery.declined(node, declined.ticket(), declined.taken(), now);
       case NodeEvent.LinkUp up -> Delivery.linkUp(node, up.address(), now);
       case NodeEvent.LinkDown down -> Delivery.linkDown(node, down);
       case NodeEvent.CatalogRead read -> FreshnessRules.read(node, read, now);
--- a/core/src/main/java/dev/toucanstall/core/node/Pending.java
+++ b/core/src/main/java/dev/toucanstall/core/node/Pending.java
@@ -19,6 +19,9 @@
   /** Whether a planner may have stored it without an answer. */
   boolean taken;
 
+  /** Until when it waits for a planner that none has been asked. */
+  long waitUntilMs;
+
   Pending(JobCall call, long deadlineMs) {
     this.call = call;
     this.deadlineMs = deadlineMs;
