--- a/core/src/main/java/dev/toucanstall/core/node/Terms.java
+++ b/core/src/main/java/dev/toucanstall/core/node/Terms.java
@@ -15,6 +15,12 @@
   /** Pause after a failed try to become the planner, in milliseconds. */
   private static final long ELECT_PAUSE_MS = 150;
 
+  /**
+   * A planner that the store has not confirmed for this long says so, in milliseconds: it confirms
+   * itself each 0.7 s, and nothing can be stored meanwhile.
+   */
+  private static final long UNFIT_MS = 1_300;
+
   /** How long a stopping process goes on answering, in milliseconds. */
   private static final long STOP_MS = 3_000;
 
@@ -50,9 +56,7 @@
 
   static boolean plansWell(Node node, Now now) {
     Plan plan = node.plan;
-    return plan != null
-        && !node.stopping
-        && now.steadyMs() - plan.confirmedMs() <= PlanReducer.START_PERMISSION_MS;
+    return plan != null && !node.stopping && now.steadyMs() - plan.confirmedMs() <= UNFIT_MS;
   }
 
   static void notElected(Node node, String why, Now now) {
--- a/core/src/test/java/dev/toucanstall/core/node/NodeTest.java
+++ b/core/src/test/java/dev/toucanstall/core/node/NodeTest.java
@@ -237,6 +237,19 @@
     assertThat(effects).contains(new NodeEffect.Elect(1));
   }
 
+  @Test
+  void plannerThatTheStoreDoesNotConfirmSaysThatItIsUnfit() {
+    readCatalog(catalog(1, "key"));
+    tell(new NodeEvent.Joined(true));
+    tell(new NodeEvent.Elected(1, 7, List.of()));
+    tell(new NodeEvent.PeerPinged(4));
+    assertThat(effects).contains(new NodeEffect.AnswerPing(4, true));
+    effects.clear();
+    pass(1_301);
+    tell(new NodeEvent.PeerPinged(4));
+    assertThat(effects).contains(new NodeEffect.AnswerPing(4, false));
+  }
+
   @Test
   void plannerThatIsReplacedDeclinesWhatItTook() {
     readCatalog(catalog(1, "key"));
