Take the answer to a call only from the planner that was asked last

An entry instance that elects itself takes the calls that wait at the planner before; that one, cut off from the store, refuses what it could not store 0.7 s later, over a link that is still open. Ruled out: withdrawn submissions (their tasks are unbound and dropped). Change: answers and declines name who sent them and count only from whom the call was asked last. Before/after: refusalOfReplacedPlannerDoesNotReachTheCaller failed, passes. Not covered: a planner that is elected again at the same address while a refusal of its earlier term is on its way.

--- a/core/src/main/java/dev/toucanstall/core/node/Delivery.java
+++ b/core/src/main/java/dev/toucanstall/core/node/Delivery.java
@@ -82,11 +82,20 @@
     }
   }
 
-  static void declined(Node node, long ticket, boolean taken, Now now) {
-    Pending pending = node.pending.get(ticket);
-    if (pending == null) {
+  /** Takes an answer only from whom the call was asked last: the next planner may accept it. */
+  static void peerAnswered(Node node, NodeEvent.PeerAnswered answered) {
+    Pending pending = node.pending.get(answered.ticket());
+    if (pending != null && answered.from().equals(pending.asked)) {
+      answered(node, answered.ticket(), answered.answer());
+    }
+  }
+
+  static void declined(Node node, NodeEvent.PeerDeclined declined, Now now) {
+    Pending pending = node.pending.get(declined.ticket());
+    if (pending == null || !declined.from().equals(pending.asked)) {
       return;
     }
+    boolean taken = declined.taken();
     Leader leader = node.leader;
     if (leader != null && leader.address().equals(pending.asked)) {
       node.leaderReachable = false;
--- a/core/src/main/java/dev/toucanstall/core/node/NodeEvent.java
+++ b/core/src/main/java/dev/toucanstall/core/node/NodeEvent.java
@@ -48,20 +48,22 @@
   record PeerPonged(boolean plans) implements NodeEvent {}
 
   /**
-   * The planner answered.
+   * An entry instance that was asked as the planner answered.
    *
+   * @param from the entry instance
    * @param ticket the call
    * @param answer the answer
    */
-  record PeerAnswered(long ticket, JobAnswer answer) implements NodeEvent {}
+  record PeerAnswered(Address from, long ticket, JobAnswer answer) implements NodeEvent {}
 
   /**
    * The entry instance that was asked does not plan, or there is no link to it.
    *
+   * @param from the entry instance
    * @param ticket the call
    * @param taken whether the call may have been stored
    */
-  record PeerDeclined(long ticket, boolean taken) implements NodeEvent {}
+  record PeerDeclined(Address from, long ticket, boolean taken) implements NodeEvent {}
 
   /**
    * The link to an entry instance works.
--- a/core/src/main/java/dev/toucanstall/core/node/NodeReducer.java
+++ b/core/src/main/java/dev/toucanstall/core/node/NodeReducer.java
@@ -29,10 +29,8 @@
       case NodeEvent.PeerPinged pinged ->
           node.emit(new NodeEffect.AnswerPing(pinged.link(), Terms.plansWell(node, now)));
       case NodeEvent.PeerPonged ponged -> node.leaderPlans = ponged.plans();
-      case NodeEvent.PeerAnswered answered ->
-          Delivery.answered(node, answered.ticket(), answered.answer());
-      case NodeEvent.PeerDeclined declined ->
-          Delivery.declined(node, declined.ticket(), declined.taken(), now);
+      case NodeEvent.PeerAnswered answered -> Delivery.peerAnswered(node, answered);
+      case NodeEvent.PeerDeclined declined -> Delivery.declined(node, declined, now);
       case NodeEvent.LinkUp up -> Delivery.linkUp(node, up.address(), now);
       case NodeEvent.LinkDown down -> Delivery.linkDown(node, down);
       case NodeEvent.CatalogRead read -> FreshnessRules.read(node, read, now);
--- a/core/src/test/java/dev/toucanstall/core/node/NodeTest.java
+++ b/core/src/test/java/dev/toucanstall/core/node/NodeTest.java
@@ -205,7 +205,7 @@
     readCatalog(catalog(1, "key"));
     followOther(1);
     submit(1);
-    tell(new NodeEvent.PeerDeclined(1, false));
+    tell(new NodeEvent.PeerDeclined(OTHER, 1, false));
     assertThat(answer(1)).isEmpty();
     effects.clear();
     pass(700);
@@ -218,7 +218,7 @@
     readCatalog(catalog(1, "key"));
     followOther(1);
     submit(1);
-    tell(new NodeEvent.PeerDeclined(1, false));
+    tell(new NodeEvent.PeerDeclined(OTHER, 1, false));
     pass(799);
     assertThat(answer(1)).isEmpty();
     pass(1);
@@ -250,6 +250,20 @@
     assertThat(effects).contains(new NodeEffect.AnswerPing(4, false));
   }
 
+  @Test
+  void refusalOfReplacedPlannerDoesNotReachTheCaller() {
+    readCatalog(catalog(1, "key"));
+    followOther(1);
+    submit(1);
+    tell(new NodeEvent.PeerPonged(false));
+    tell(new NodeEvent.Joined(true));
+    tell(new NodeEvent.Elected(2, 7, List.of()));
+    tell(new NodeEvent.PeerAnswered(OTHER, 1, refused(Reason.NO_PLANNER, 1_000)));
+    tell(new NodeEvent.PeerDeclined(OTHER, 1, false));
+    pass(20);
+    assertThat(answer(1)).isEmpty();
+  }
+
   @Test
   void plannerThatIsReplacedDeclinesWhatItTook() {
     readCatalog(catalog(1, "key"));
--- a/entry/src/main/java/dev/toucanstall/entry/node/PlannerLink.java
+++ b/entry/src/main/java/dev/toucanstall/entry/node/PlannerLink.java
@@ -61,7 +61,7 @@
             && current != null
             && current.offer(JobCodec.MESSAGES.encode(new NodeMessage.Ask(ticket, call)));
     if (!sent) {
-      events.accept(new NodeEvent.PeerDeclined(ticket, false));
+      events.accept(new NodeEvent.PeerDeclined(to, ticket, false));
     }
   }
 
@@ -106,7 +106,7 @@
       FrameLink fresh = new FrameLink(socket);
       link = fresh;
       events.accept(new NodeEvent.LinkUp(to));
-      return fresh.run(this::receive);
+      return fresh.run(frame -> receive(to, frame));
     } catch (IOException e) {
       return e.getClass().getSimpleName() + ": " + e.getMessage();
     } finally {
@@ -114,19 +114,19 @@
     }
   }
 
-  private void receive(byte[] frame) throws IOException {
+  private void receive(Address from, byte[] frame) throws IOException {
     switch (JobCodec.MESSAGES.decode(frame)) {
-      case Decoded.Value<NodeMessage> value -> receive(value.value());
+      case Decoded.Value<NodeMessage> value -> receive(from, value.value());
       case Decoded.Malformed<NodeMessage> malformed -> throw new IOException(malformed.why());
     }
   }
 
-  private void receive(NodeMessage message) {
+  private void receive(Address from, NodeMessage message) {
     switch (message) {
       case NodeMessage.Reply reply ->
-          events.accept(new NodeEvent.PeerAnswered(reply.number(), reply.answer()));
+          events.accept(new NodeEvent.PeerAnswered(from, reply.number(), reply.answer()));
       case NodeMessage.NotPlanner declined ->
-          events.accept(new NodeEvent.PeerDeclined(declined.number(), declined.taken()));
+          events.accept(new NodeEvent.PeerDeclined(from, declined.number(), declined.taken()));
       case NodeMessage.Pong pong -> events.accept(new NodeEvent.PeerPonged(pong.plans()));
       case NodeMessage.Ping ping -> LogLine.of("ping-unexpected").warn(LOG);
       case NodeMessage.Ask ask ->
