Free runs and repeat starts only when no start can be under way; fill pools at once

Change: stops are repeated after a refusal; a start is repeated only once one more append has confirmed the token; refusals count over 80 ms, and not while a start is under way; pools are filled as soon as backend servers and machines are listed, and only spared after 1.5 s. Ended jobs close when a backend server ends.

--- a/core/src/main/java/dev/toucanstall/core/plan/HoldRules.java
+++ b/core/src/main/java/dev/toucanstall/core/plan/HoldRules.java
@@ -55,7 +55,7 @@
           ServerRules.died(plan, server, "another life answers");
       case OrderResult.ConnectionRefused refused -> {
         server.holdAfterMs = now.steadyMs() + REFUSED_PAUSE_MS;
-        ServerRules.connectionRefused(plan, server);
+        ServerRules.connectionRefused(plan, server, now);
       }
       case OrderResult.Rejected rejected when rejected.reason() == OrderResult.Reason.FENCED ->
           plan.emit(new PlanEffect.Resign("a backend server has seen a higher fencing token"));
@@ -81,7 +81,7 @@
     }
     server.known = true;
     server.silentSinceMs = 0;
-    server.connectionsRefused = 0;
+    server.refusingSinceMs = 0;
     server.readClock(listed.clockMs(), now.steadyMs());
     server.acknowledgedEnds = Math.max(server.acknowledgedEnds, held.acknowledged());
     Set<TaskKey> seen = new HashSet<>();
--- a/core/src/main/java/dev/toucanstall/core/plan/OrderRules.java
+++ b/core/src/main/java/dev/toucanstall/core/plan/OrderRules.java
@@ -24,13 +24,10 @@
     Server server = task.server;
     plan.ledger.afterStore(
         (now, out) -> {
-          if (task.phase != TaskPhase.ORDERED || task.run != run || task.server != server) {
+          if (server == null || !task.ordered(run, server)) {
             return;
           }
-          long sinceConfirmed = now.steadyMs() - plan.confirmedMs();
-          if (server != null
-              && server.takesTasks(now.steadyMs())
-              && sinceConfirmed <= PlanReducer.START_PERMISSION_MS) {
+          if (server.takesTasks(now.steadyMs()) && permitted(plan, now)) {
             sendStart(plan, server, task, now);
           } else {
             plan.release(task);
@@ -91,6 +88,7 @@
     Optional<Task> task = bound(server, started.task(), started.run());
     switch (started.result()) {
       case OrderResult.Obeyed obeyed -> {
+        server.refusingSinceMs = 0;
         if (sameLife) {
           server.readClock(obeyed.clockMs(), now.steadyMs());
         }
@@ -102,11 +100,10 @@
       case OrderResult.ConnectionRefused refused -> {
         task.ifPresent(t -> notStarted(plan, t));
         if (sameLife) {
-          ServerRules.connectionRefused(plan, server);
+          ServerRules.connectionRefused(plan, server, now);
         }
       }
-      case OrderResult.Unanswered unanswered ->
-          task.ifPresent(t -> unanswered(plan, server, t, now));
+      case OrderResult.Unanswered unanswered -> task.ifPresent(t -> unanswered(plan, t));
     }
   }
 
@@ -154,19 +151,44 @@
     }
   }
 
-  private static void unanswered(Plan plan, Server server, Task task, Now now) {
+  private static void unanswered(Plan plan, Task task) {
     task.unanswered = true;
     if (task.phase != TaskPhase.ORDERED) {
       return;
     }
-    boolean permitted = now.steadyMs() - plan.confirmedMs() <= PlanReducer.START_PERMISSION_MS;
-    if (task.sends < MAX_SENDS && permitted) {
-      sendStart(plan, server, task, now);
+    if (task.sends < MAX_SENDS) {
+      repeatOnceConfirmed(plan, task);
     } else {
       stopOnceStored(plan, task);
     }
   }
 
+  /**
+   * Sends a start again once the store has confirmed the fencing token by one more append: a later
+   * life of the backend server has seen no fencing token and would obey a planner that was
+   * replaced.
+   */
+  private static void repeatOnceConfirmed(Plan plan, Task task) {
+    long run = task.run;
+    Server server = task.server;
+    plan.ledger.changed(task.job);
+    plan.ledger.afterStore(
+        (now, out) -> {
+          if (server == null || !task.ordered(run, server)) {
+            return;
+          }
+          if (server.takesTasks(now.steadyMs()) && permitted(plan, now)) {
+            sendStart(plan, server, task, now);
+          } else {
+            stopOnceStored(plan, task);
+          }
+        });
+  }
+
+  private static boolean permitted(Plan plan, Now now) {
+    return now.steadyMs() - plan.confirmedMs() <= PlanReducer.START_PERMISSION_MS;
+  }
+
   static void stopped(Plan plan, PlanEvent.Stopped stopped, Now now) {
     Server server = plan.servers.get(stopped.server());
     if (server == null) {
@@ -181,7 +203,10 @@
       case OrderResult.Rejected rejected -> task.ifPresent(t -> t.settledMs = now.steadyMs());
       case OrderResult.OtherLife otherLife ->
           ServerRules.died(plan, server, "another life answers");
-      case OrderResult.ConnectionRefused refused -> ServerRules.connectionRefused(plan, server);
+      case OrderResult.ConnectionRefused refused -> {
+        ServerRules.connectionRefused(plan, server, now);
+        task.filter(t -> t.server == server).ifPresent(t -> sendStop(plan, t));
+      }
       case OrderResult.Unanswered unanswered -> task.ifPresent(t -> sendStop(plan, t));
     }
   }
--- a/core/src/main/java/dev/toucanstall/core/plan/Plan.java
+++ b/core/src/main/java/dev/toucanstall/core/plan/Plan.java
@@ -173,5 +173,6 @@
     task.phase = task.job.phase.ended() ? TaskPhase.DROPPED : TaskPhase.WAITING;
     ledger.changed(task.job);
     dirtyServices.add(task.job.service);
+    JobRules.settleIfEnded(this, task.job);
   }
 }
--- a/core/src/main/java/dev/toucanstall/core/plan/PoolMoves.java
+++ b/core/src/main/java/dev/toucanstall/core/plan/PoolMoves.java
@@ -37,7 +37,7 @@
   /** The same in a pool that no job has been known for, in milliseconds. */
   private static final long UNUSED_MS = 60_000;
 
-  /** A new planner first learns what runs, in milliseconds. */
+  /** A new planner first learns what runs before it spares machines, in milliseconds. */
   private static final long SETTLE_MS = 1_500;
 
   /** Machines that a pool keeps beyond what it needs when others are spared. */
@@ -58,18 +58,18 @@
     }
     plan.moves.nextLookMs = now.steadyMs() + LOOK_MS;
     plan.servers.values().forEach(s -> s.noteUse(now.steadyMs()));
-    boolean settled = plan.listComplete && now.steadyMs() - plan.tookOverMs >= SETTLE_MS;
-    if (!settled) {
+    if (!plan.listComplete) {
       return;
     }
     List<Pool> pools = pools(plan, now);
-    boolean unknown =
-        pools.stream().flatMap(p -> p.servers.stream()).anyMatch(p -> nameless(plan, p));
-    if (!plan.machines.known || unknown) {
+    if (!plan.machines.known
+        || pools.stream().flatMap(p -> p.servers.stream()).anyMatch(s -> nameless(plan, s))) {
       plan.machines.ask(plan, now);
     }
     if (plan.machines.known) {
       pools.forEach(pool -> fill(plan, pool, pools, now));
+    }
+    if (plan.machines.known && now.steadyMs() - plan.tookOverMs >= SETTLE_MS) {
       pools.forEach(pool -> spare(plan, pool, now));
     }
   }
--- a/core/src/main/java/dev/toucanstall/core/plan/Server.java
+++ b/core/src/main/java/dev/toucanstall/core/plan/Server.java
@@ -32,8 +32,8 @@
   /** When its calls began to fail, 0 if they do not. */
   long silentSinceMs;
 
-  /** How often in a row it refused a connection. */
-  int connectionsRefused;
+  /** Since when it refuses connections, 0 if it does not. */
+  long refusingSinceMs;
 
   /** Its clock when we last read it, and when that was. */
   long clockMs;
@@ -88,7 +88,7 @@
     known = false;
     holding = false;
     holdAfterMs = 0;
-    connectionsRefused = 0;
+    refusingSinceMs = 0;
     storedEnds = 0;
     acknowledgedEnds = 0;
     appliedEnds = 0;
--- a/core/src/main/java/dev/toucanstall/core/plan/ServerRules.java
+++ b/core/src/main/java/dev/toucanstall/core/plan/ServerRules.java
@@ -16,8 +16,8 @@
   /** The same while a lasting task starts up, in milliseconds. */
   static final long SHORT_WAIT_MS = 400;
 
-  /** Refused connections in a row after which nothing runs at an address any more. */
-  static final int REFUSALS_OF_A_DEAD_PROCESS = 2;
+  /** Refused connections for this long mean a dead process, in milliseconds. */
+  private static final long REFUSING_MS = 80;
 
   private ServerRules() {}
 
@@ -103,9 +103,16 @@
         why);
   }
 
-  static void connectionRefused(Plan plan, Server server) {
-    server.connectionsRefused++;
-    if (server.connectionsRefused >= REFUSALS_OF_A_DEAD_PROCESS) {
+  /**
+   * Nothing runs at an address that refuses connections for a while. A process that starts again
+   * may yet get the starts that are under way, so these are waited for.
+   */
+  static void connectionRefused(Plan plan, Server server, Now now) {
+    if (server.refusingSinceMs == 0) {
+      server.refusingSinceMs = now.steadyMs();
+    }
+    boolean starts = server.tasks.stream().anyMatch(Task::startUnderWay);
+    if (now.steadyMs() - server.refusingSinceMs >= REFUSING_MS && !starts) {
       died(plan, server, "nothing listens at " + server.entry.address());
     }
   }
--- a/core/src/main/java/dev/toucanstall/core/plan/Task.java
+++ b/core/src/main/java/dev/toucanstall/core/plan/Task.java
@@ -73,6 +73,16 @@
     pace = 100;
   }
 
+  /** Tells whether this run is still to be started on a backend server. */
+  boolean ordered(long number, Server on) {
+    return phase == TaskPhase.ORDERED && run == number && server == on;
+  }
+
+  /** Tells whether a start was sent and its outcome is not known. */
+  boolean startUnderWay() {
+    return phase == TaskPhase.ORDERED && sends > 0;
+  }
+
   boolean begun() {
     return run > 0 || phase != TaskPhase.WAITING;
   }
--- a/core/src/test/java/dev/toucanstall/core/plan/PlanTest.java
+++ b/core/src/test/java/dev/toucanstall/core/plan/PlanTest.java
@@ -9,6 +9,7 @@
 import dev.toucanstall.core.job.Resources;
 import dev.toucanstall.core.job.WaveOrder;
 import java.util.List;
+import java.util.Objects;
 import java.util.stream.IntStream;
 import java.util.stream.Stream;
 import org.junit.jupiter.api.Test;
@@ -439,4 +440,24 @@
     world.run(1_500);
     assertThat(show(world, "k")).isEqualTo(new JobAnswer.Shown(JobPhase.COMPLETED));
   }
+
+  @Test
+  void stopWhoseConnectionIsRefusedOnceIsSentAgain() {
+    PlanWorld world = new PlanWorld(1);
+    final FakeServer server = world.server("w1", 10_000);
+    world.elect();
+    world.run(200);
+    world.submit("j", PlanWorld.lasting(1, 1_000, 0));
+    world.run(1_000);
+    world.call(new JobCall.Cancel("j", PlanWorld.QUEUE));
+    while (world.seen.stream().noneMatch(e -> e instanceof PlanEffect.Stop)) {
+      world.run(1);
+    }
+    server.up = false;
+    world.run(5);
+    server.up = true;
+    world.run(2_000);
+    assertThat(server.running).isEmpty();
+    assertThat(Objects.requireNonNull(world.planner).plan.openJobs()).isEqualTo(0);
+  }
 }
--- a/core/src/test/java/dev/toucanstall/core/plan/PoolMovesTest.java
+++ b/core/src/test/java/dev/toucanstall/core/plan/PoolMovesTest.java
@@ -7,6 +7,7 @@
 import dev.toucanstall.core.job.JobPhase;
 import dev.toucanstall.core.job.Resources;
 import java.util.List;
+import java.util.Objects;
 import java.util.stream.IntStream;
 import java.util.stream.Stream;
 import org.junit.jupiter.api.Test;
@@ -114,4 +115,17 @@
       assertThat(world.broken).isEmpty();
     }
   }
+
+  @Test
+  void backlogOfOutageGetsMachinesOncePlannerStands() {
+    PlanWorld world = world(1);
+    Objects.requireNonNull(world.planner).alive = false;
+    world.run(1_000);
+    world.elect();
+    for (int i = 0; i < 20; i++) {
+      world.submit("j" + i, PlanWorld.step(20, 1_000));
+    }
+    world.run(400);
+    assertThat(world.moves).isNotEmpty();
+  }
 }
