Split the pools from the moves; one way to send a start once it is stored

Cause: reading the diff as a newcomer: PoolMoves held two things, a start and its repetition were sent by the same lines twice, and five places compared the last confirmation with the permission to order. Change: Pool is a file of its own; OrderRules.sendOnceStored; Plan.mayOrder. No change of what is decided.

--- a/core/src/main/java/dev/toucanstall/core/plan/Maintenance.java
+++ b/core/src/main/java/dev/toucanstall/core/plan/Maintenance.java
@@ -117,7 +117,7 @@
 
   static void advance(Plan plan, Now now) {
     boolean open = plan.waves.values().stream().anyMatch(w -> !w.completed);
-    if (!open || now.steadyMs() - plan.confirmedMs() > PlanReducer.START_PERMISSION_MS) {
+    if (!open || !plan.mayOrder(now)) {
       return;
     }
     plan.machines.ask(plan, now);
--- a/core/src/main/java/dev/toucanstall/core/plan/OrderRules.java
+++ b/core/src/main/java/dev/toucanstall/core/plan/OrderRules.java
@@ -20,6 +20,11 @@
 
   /** Sends a start once the intent is stored, if it is still wanted then. */
   static void startOnceStored(Plan plan, Task task) {
+    sendOnceStored(plan, task, () -> plan.release(task));
+  }
+
+  /** Sends a start once all changes so far are stored, or does something else if it may not. */
+  private static void sendOnceStored(Plan plan, Task task, Runnable otherwise) {
     long run = task.run;
     Server server = task.server;
     plan.ledger.afterStore(
@@ -27,10 +32,10 @@
           if (server == null || !task.ordered(run, server)) {
             return;
           }
-          if (server.takesTasks(now.steadyMs()) && permitted(plan, now)) {
+          if (server.takesTasks(now.steadyMs()) && plan.mayOrder(now)) {
             sendStart(plan, server, task, now);
           } else {
-            plan.release(task);
+            otherwise.run();
           }
         });
   }
@@ -169,24 +174,8 @@
    * replaced.
    */
   private static void repeatOnceConfirmed(Plan plan, Task task) {
-    long run = task.run;
-    Server server = task.server;
     plan.ledger.changed(task.job);
-    plan.ledger.afterStore(
-        (now, out) -> {
-          if (server == null || !task.ordered(run, server)) {
-            return;
-          }
-          if (server.takesTasks(now.steadyMs()) && permitted(plan, now)) {
-            sendStart(plan, server, task, now);
-          } else {
-            stopOnceStored(plan, task);
-          }
-        });
-  }
-
-  private static boolean permitted(Plan plan, Now now) {
-    return now.steadyMs() - plan.confirmedMs() <= PlanReducer.START_PERMISSION_MS;
+    sendOnceStored(plan, task, () -> stopOnceStored(plan, task));
   }
 
   static void stopped(Plan plan, PlanEvent.Stopped stopped, Now now) {
--- a/core/src/main/java/dev/toucanstall/core/plan/Placement.java
+++ b/core/src/main/java/dev/toucanstall/core/plan/Placement.java
@@ -20,7 +20,7 @@
     if (plan.dirtyServices.isEmpty()) {
       return;
     }
-    if (now.steadyMs() - plan.confirmedMs() > PlanReducer.START_PERMISSION_MS) {
+    if (!plan.mayOrder(now)) {
       return;
     }
     List<String> services = List.copyOf(plan.dirtyServices);
--- a/core/src/main/java/dev/toucanstall/core/plan/Plan.java
+++ b/core/src/main/java/dev/toucanstall/core/plan/Plan.java
@@ -92,6 +92,11 @@
     return ledger.confirmedMs();
   }
 
+  /** Tells whether the store has confirmed the fencing token lately enough to give orders. */
+  boolean mayOrder(Now now) {
+    return now.steadyMs() - ledger.confirmedMs() <= PlanReducer.START_PERMISSION_MS;
+  }
+
   /** Starts and renews nothing until the store has confirmed the fencing token again. */
   public void doubtTerm() {
     ledger.doubtTerm();
--- a/core/src/main/java/dev/toucanstall/core/plan/PlanReducer.java
+++ b/core/src/main/java/dev/toucanstall/core/plan/PlanReducer.java
@@ -15,7 +15,7 @@
   static final long START_MS = 2_500;
 
   /** A planner that the store has not confirmed for this long starts nothing, in milliseconds. */
-  public static final long START_PERMISSION_MS = 2_500;
+  static final long START_PERMISSION_MS = 2_500;
 
   /** A planner that the store has not confirmed for this long renews no lease, in milliseconds. */
   static final long HOLD_PERMISSION_MS = 4_000;
--- a/core/src/main/java/dev/toucanstall/core/plan/PoolMoves.java
+++ b/core/src/main/java/dev/toucanstall/core/plan/PoolMoves.java
@@ -1,7 +1,6 @@
 package dev.toucanstall.core.plan;
 
 import dev.toucanstall.core.job.MachineEntry;
-import dev.toucanstall.core.job.Resources;
 import java.util.Comparator;
 import java.util.List;
 import java.util.Optional;
@@ -43,13 +42,10 @@
   /** Machines that a pool keeps beyond what it needs when others are spared. */
   private static final int RESERVE = 1;
 
-  /** A pool of this many machines gives none away. */
-  private static final int LEAST_POOL = 2;
-
   private PoolMoves() {}
 
   static void advance(Plan plan, Now now) {
-    if (now.steadyMs() - plan.confirmedMs() > PlanReducer.START_PERMISSION_MS) {
+    if (!plan.mayOrder(now)) {
       return;
     }
     List.copyOf(plan.moves.open.values()).forEach(move -> repeat(plan, move, now));
@@ -62,22 +58,18 @@
       return;
     }
     List<Pool> pools = pools(plan, now);
-    if (!plan.machines.known
-        || pools.stream().flatMap(p -> p.servers.stream()).anyMatch(s -> nameless(plan, s))) {
+    if (!plan.machines.known || pools.stream().anyMatch(Pool::hasNamelessMachine)) {
       plan.machines.ask(plan, now);
     }
-    if (plan.machines.known) {
-      pools.forEach(pool -> fill(plan, pool, pools, now));
+    if (!plan.machines.known) {
+      return;
     }
-    if (plan.machines.known && now.steadyMs() - plan.tookOverMs >= SETTLE_MS) {
+    pools.forEach(pool -> fill(plan, pool, pools, now));
+    if (now.steadyMs() - plan.tookOverMs >= SETTLE_MS) {
       pools.forEach(pool -> spare(plan, pool, now));
     }
   }
 
-  private static boolean nameless(Plan plan, Server server) {
-    return server.known && !plan.machines.byServer.containsKey(server.entry.id());
-  }
-
   /** The services that queues name, the one that is shortest of machines first. */
   private static List<Pool> pools(Plan plan, Now now) {
     Set<String> services =
@@ -231,56 +223,4 @@
     long length = move.uncertainUntilMs > 0 ? LATE_ORDER_MS : REST_MS;
     plan.moves.restUntilMs.put(move.machine, now.steadyMs() + length);
   }
-
-  /** A service's backend servers and how many it needs. */
-  private static final class Pool {
-
-    final Plan plan;
-    final String service;
-    final List<Server> servers;
-    final int needed;
-    int have;
-
-    Pool(Plan plan, String service, Now now) {
-      this.plan = plan;
-      this.service = service;
-      this.servers =
-          plan.servers.values().stream()
-              .filter(s -> s.entry.service().equals(service) && works(s, now))
-              .toList();
-      this.needed = Demand.of(plan, service, now).machines(machineSize(plan));
-      this.have = servers.size() + plan.moves.incoming(service, now.steadyMs());
-    }
-
-    private static boolean works(Server server, Now now) {
-      return !server.unlisted
-          && !server.entry.draining()
-          && !server.evacuating
-          && !server.moving
-          && server.silentSinceMs == 0
-          && now.steadyMs() >= server.suspendedUntilMs;
-    }
-
-    private static Resources machineSize(Plan plan) {
-      return plan.servers.values().stream()
-          .map(s -> s.entry.capacity())
-          .max(Comparator.comparingLong(Resources::cpu))
-          .orElse(Resources.NONE);
-    }
-
-    int surplus() {
-      return have - needed;
-    }
-
-    boolean mayLose(int reserve) {
-      return surplus() > reserve && have > LEAST_POOL;
-    }
-
-    /** Machines whose backend server has had no task for a time. */
-    Stream<MachineEntry> idle(Now now, long forMs) {
-      return servers.stream()
-          .filter(s -> s.known && s.tasks.isEmpty() && now.steadyMs() - s.usedMs >= forMs)
-          .flatMap(s -> Optional.ofNullable(plan.machines.byServer.get(s.entry.id())).stream());
-    }
-  }
 }
