--- a/core/src/test/java/dev/toucanstall/core/plan/PlacementTest.java
+++ b/core/src/test/java/dev/toucanstall/core/plan/PlacementTest.java
@@ -3,9 +3,6 @@
 import static com.google.common.truth.Truth.assertThat;
 
 import dev.toucanstall.core.job.JobAnswer;
-import dev.toucanstall.core.job.Resources;
-import dev.toucanstall.core.job.StepSpec;
-import java.util.List;
 import java.util.Objects;
 import java.util.stream.Stream;
 import org.junit.jupiter.api.Test;
@@ -50,25 +47,7 @@
     PlanWorld world = world();
     world.submit("serves", PlanWorld.lasting(2, 1_000, 0));
     world.run(300);
-    StepSpec fills =
-        new StepSpec(
-            2,
-            new Resources(5_000, 100, 0),
-            0,
-            List.of(),
-            false,
-            false,
-            false,
-            "",
-            "",
-            0,
-            false,
-            true,
-            "",
-            0,
-            true,
-            1);
-    world.submit("fills", fills);
+    world.submit("fills", PlanWorld.filling(2, 5_000));
     world.run(300);
     assertThat(
             world.servers.values().stream()
--- a/core/src/test/java/dev/toucanstall/core/plan/PlanRandomTest.java
+++ b/core/src/test/java/dev/toucanstall/core/plan/PlanRandomTest.java
@@ -17,9 +17,6 @@
   private static final long FIRST_SEED = Long.getLong("random.seed", 1);
   private static final int STEPS = 120;
 
-  /** A process that starts again is away for at least this time, in milliseconds. */
-  private static final long RESTART_MS = 50;
-
   @Test
   void faultsBreakNoPromise() {
     for (long seed = FIRST_SEED; seed < FIRST_SEED + RUNS; seed++) {
@@ -88,7 +85,7 @@
       case 7 -> {
         if (server != null) {
           server.crash();
-          world.at(RESTART_MS, () -> world.server(server.id, 6_000));
+          world.server(server.id, 6_000);
         }
       }
       default -> {}
--- a/core/src/test/java/dev/toucanstall/core/plan/PlanTest.java
+++ b/core/src/test/java/dev/toucanstall/core/plan/PlanTest.java
@@ -17,6 +17,15 @@
 /** Each test is named for the pattern of load or failure that it brings about. */
 final class PlanTest {
 
+  /** A world with backend servers of ten cores and a planner that knows them. */
+  private static PlanWorld elected(String... servers) {
+    PlanWorld world = new PlanWorld(1);
+    Stream.of(servers).forEach(id -> world.server(id, 10_000));
+    world.elect();
+    world.run(200);
+    return world;
+  }
+
   private static JobAnswer show(PlanWorld world, String job) {
     final long ticket = world.call(new JobCall.Show(job, PlanWorld.QUEUE));
     world.run(100);
@@ -33,11 +42,7 @@
 
   @Test
   void calmJobRunsItsStepsInOrder() {
-    PlanWorld world = new PlanWorld(1);
-    world.server("w1", 10_000);
-    world.server("w2", 10_000);
-    world.elect();
-    world.run(200);
+    PlanWorld world = elected("w1", "w2");
     final long ticket = world.submit("j", PlanWorld.step(4, 1_000), PlanWorld.step(3, 1_000, 0));
     world.run(2_000);
     assertThat(world.answers.get(ticket)).isEqualTo(new JobAnswer.Accepted());
@@ -48,10 +53,7 @@
 
   @Test
   void startGoesOutOnlyOnceItsIntentIsStored() {
-    PlanWorld world = new PlanWorld(1);
-    world.server("w1", 10_000);
-    world.elect();
-    world.run(200);
+    PlanWorld world = elected("w1");
     world.storeUp = false;
     final long ticket = world.submit("j", PlanWorld.step(1, 1_000));
     world.run(400);
@@ -61,9 +63,7 @@
 
   @Test
   void submissionIsRefusedAtOnceWhileTheStoreIsOut() {
-    PlanWorld world = new PlanWorld(1);
-    world.elect();
-    world.run(200);
+    PlanWorld world = elected();
     world.storeUp = false;
     world.submit("first", PlanWorld.step(1, 1_000));
     world.run(100);
@@ -95,10 +95,7 @@
 
   @Test
   void queueGoesOnPastTasksWithoutRoom() {
-    PlanWorld world = new PlanWorld(1);
-    world.server("w1", 10_000);
-    world.elect();
-    world.run(200);
+    PlanWorld world = elected("w1");
     for (int i = 0; i < 20; i++) {
       world.submit("apart" + i, PlanWorld.lasting(2, 10, 1));
     }
@@ -109,10 +106,8 @@
 
   @Test
   void silentServerLosesItsTasksOnceItsLeasesAreOut() {
-    PlanWorld world = new PlanWorld(1);
-    final FakeServer dark = world.server("w1", 10_000);
-    world.elect();
-    world.run(200);
+    PlanWorld world = elected("w1");
+    final FakeServer dark = world.get("w1");
     world.submit("j", PlanWorld.lasting(3, 1_000, 0));
     world.run(1_000);
     assertThat(dark.running).hasSize(3);
@@ -125,10 +120,8 @@
 
   @Test
   void refusedConnectionFreesTasksAtOnce() {
-    PlanWorld world = new PlanWorld(1);
-    final FakeServer crashed = world.server("w1", 10_000);
-    world.elect();
-    world.run(200);
+    PlanWorld world = elected("w1");
+    final FakeServer crashed = world.get("w1");
     world.submit("j", PlanWorld.lasting(3, 1_000, 0));
     world.run(1_000);
     crashed.crash();
@@ -375,10 +368,8 @@
 
   @Test
   void listAskedForInTheMillisecondOfTheAnswerToTheStartFreesNothing() {
-    PlanWorld world = new PlanWorld(1);
-    final FakeServer server = world.server("w1", 10_000);
-    world.elect();
-    world.run(200);
+    PlanWorld world = elected("w1");
+    final FakeServer server = world.get("w1");
     world.submit("j", PlanWorld.step(1, 1_000));
     world.run(100);
     assertThat(server.running).hasSize(1);
@@ -406,10 +397,7 @@
 
   @Test
   void laterLifeUnderTheSameIdKeepsNoTaskAndItsOwnEndsCount() {
-    PlanWorld world = new PlanWorld(1);
-    world.server("w1", 10_000);
-    world.elect();
-    world.run(200);
+    PlanWorld world = elected("w1");
     world.submit("j", PlanWorld.step(3, 1_000));
     world.run(1_000);
     world.submit("k", PlanWorld.lasting(2, 1_000, 0));
@@ -425,10 +413,8 @@
 
   @Test
   void silentServerThatLostItsTasksIsUsedAgainOnceItAnswers() {
-    PlanWorld world = new PlanWorld(1);
-    final FakeServer server = world.server("w1", 10_000);
-    world.elect();
-    world.run(200);
+    PlanWorld world = elected("w1");
+    final FakeServer server = world.get("w1");
     world.submit("j", PlanWorld.step(1, 1_000));
     world.run(5);
     server.reachable = false;
@@ -443,10 +429,8 @@
 
   @Test
   void stopWhoseConnectionIsRefusedOnceIsSentAgain() {
-    PlanWorld world = new PlanWorld(1);
-    final FakeServer server = world.server("w1", 10_000);
-    world.elect();
-    world.run(200);
+    PlanWorld world = elected("w1");
+    final FakeServer server = world.get("w1");
     world.submit("j", PlanWorld.lasting(1, 1_000, 0));
     world.run(1_000);
     world.call(new JobCall.Cancel("j", PlanWorld.QUEUE));
--- a/core/src/test/java/dev/toucanstall/core/plan/PlanWorld.java
+++ b/core/src/test/java/dev/toucanstall/core/plan/PlanWorld.java
@@ -208,31 +208,33 @@
   }
 
   static StepSpec step(int count, long cpu, Integer... after) {
-    return new StepSpec(
-        count,
-        new Resources(cpu, 100, 0),
-        300,
-        List.of(after),
-        false,
-        false,
-        false,
-        "",
-        "",
-        0,
-        false,
-        false,
-        "",
-        0,
-        false,
-        0);
+    return spec(count, cpu, 300, List.of(after), 0, false, false);
   }
 
   static StepSpec lasting(int count, long cpu, int perServer) {
+    return spec(count, cpu, 0, List.of(), perServer, true, false);
+  }
+
+  /** Lasting tasks that use only the processors that others leave idle. */
+  static StepSpec filling(int count, long cpu) {
+    return spec(count, cpu, 0, List.of(), 0, true, true);
+  }
+
+  private static StepSpec spec(
+      int count,
+      long cpu,
+      long estimateMs,
+      List<Integer> after,
+      int perServer,
+      boolean lasts,
+      boolean fills) {
+    Resources need = new Resources(cpu, 100, 0);
+    int mayMiss = lasts ? 1 : 0;
     return new StepSpec(
         count,
-        new Resources(cpu, 100, 0),
-        0,
-        List.of(),
+        need,
+        estimateMs,
+        after,
         false,
         false,
         false,
@@ -240,11 +242,11 @@
         "",
         perServer,
         false,
-        true,
+        lasts,
         "",
         0,
-        false,
-        1);
+        fills,
+        mayMiss);
   }
 
   private void carryOut(Planner from, PlanEffect effect) {
