Hand the planning over to a much larger instance

What callers saw: calls expired while an instance of 0.36 cores planned for 247 backend servers and instances of 1.5 cores with twenty times the network stood by. Cause: the group of the log service names any member as planner, and nothing looked at its size. Change: a ping tells the size of the sender's processor, or 0 if it isn't fit to plan; a planner that sees a follower with 1.5 times its own or more for a second answers that it yields, and that follower takes the next epoch as after any other loss of a planner. No two can yield to each other. Tests: plannerAsksMuchLargerInstanceToPlan and instanceThatIsAskedToPlanElectsItself need the new messages, so they do not compile on the code before; FollowersTest.

--- a/core/src/main/java/dev/toucanstall/core/node/Node.java
+++ b/core/src/main/java/dev/toucanstall/core/node/Node.java
@@ -2,6 +2,7 @@
 
 import dev.toucanstall.core.job.Catalog;
 import dev.toucanstall.core.job.WaveOrder;
+import dev.toucanstall.core.model.InstanceSize;
 import dev.toucanstall.core.plan.Now;
 import dev.toucanstall.core.plan.Plan;
 import java.util.ArrayList;
@@ -21,6 +22,12 @@
   record Origin(long link, long number) {}
 
   final String name;
+
+  final InstanceSize size;
+
+  /** The entry instances that follow this one. */
+  final Followers followers = new Followers();
+
   final Map<Long, Pending> pending = new LinkedHashMap<>();
   final Map<Long, Origin> origins = new HashMap<>();
   final Map<Integer, WaveOrder> waves = new LinkedHashMap<>();
@@ -53,12 +60,23 @@
   private List<NodeEffect> out = new ArrayList<>();
 
   /**
-   * Creates the state of an entry instance that knows nothing yet.
+   * Creates the state of an entry instance of unknown size that knows nothing yet.
    *
    * @param name the instance's name
    */
   public Node(String name) {
+    this(name, InstanceSize.UNKNOWN);
+  }
+
+  /**
+   * Creates the state of an entry instance that knows nothing yet.
+   *
+   * @param name the instance's name
+   * @param size what it may use of its machine
+   */
+  public Node(String name, InstanceSize size) {
     this.name = name;
+    this.size = size;
   }
 
   /**
--- a/core/src/main/java/dev/toucanstall/core/node/NodeEffect.java
+++ b/core/src/main/java/dev/toucanstall/core/node/NodeEffect.java
@@ -40,8 +40,9 @@
    *
    * @param link the link that it asked by
    * @param plans whether it plans and the store has confirmed it lately
+   * @param yields whether the other one should plan instead
    */
-  record AnswerPing(long link, boolean plans) implements NodeEffect {}
+  record AnswerPing(long link, boolean plans, boolean yields) implements NodeEffect {}
 
   /**
    * Tell another entry instance that this one does not plan.
--- a/core/src/main/java/dev/toucanstall/core/node/NodeEvent.java
+++ b/core/src/main/java/dev/toucanstall/core/node/NodeEvent.java
@@ -37,15 +37,17 @@
    * Another entry instance wants to know whether this one plans.
    *
    * @param link the link that it came by
+   * @param cores its processor time a second, in cores; 0 if it is not fit to plan
    */
-  record PeerPinged(long link) implements NodeEvent {}
+  record PeerPinged(long link, double cores) implements NodeEvent {}
 
   /**
    * The entry instance that is followed has told whether it plans.
    *
    * @param plans whether it plans and the store has confirmed it lately
+   * @param yields whether it wants this entry instance to plan instead
    */
-  record PeerPonged(boolean plans) implements NodeEvent {}
+  record PeerPonged(boolean plans, boolean yields) implements NodeEvent {}
 
   /**
    * An entry instance that was asked as the planner answered.
--- a/core/src/main/java/dev/toucanstall/core/node/NodeMessage.java
+++ b/core/src/main/java/dev/toucanstall/core/node/NodeMessage.java
@@ -30,13 +30,19 @@
    */
   record NotPlanner(long number, boolean taken) implements NodeMessage {}
 
-  /** Asks whether the receiver plans. */
-  record Ping() implements NodeMessage {}
+  /**
+   * Asks whether the receiver plans.
+   *
+   * @param processor what the sender's processor gives, in thousandths of a core; 0 if the sender
+   *     is not fit to plan
+   */
+  record Ping(double cores) implements NodeMessage {}
 
   /**
    * Answers a ping.
    *
    * @param plans whether the sender plans and the store has confirmed it lately
+   * @param yields whether the receiver should plan instead
    */
-  record Pong(boolean plans) implements NodeMessage {}
+  record Pong(boolean plans, boolean yields) implements NodeMessage {}
 }
--- a/core/src/main/java/dev/toucanstall/core/node/NodeReducer.java
+++ b/core/src/main/java/dev/toucanstall/core/node/NodeReducer.java
@@ -26,9 +26,8 @@
       case NodeEvent.Tick tick -> tick(node, now);
       case NodeEvent.Called called -> Admission.decide(node, called, now);
       case NodeEvent.PeerAsked asked -> Delivery.asked(node, asked, now);
-      case NodeEvent.PeerPinged pinged ->
-          node.emit(new NodeEffect.AnswerPing(pinged.link(), Terms.plansWell(node, now)));
-      case NodeEvent.PeerPonged ponged -> node.leaderPlans = ponged.plans();
+      case NodeEvent.PeerPinged pinged -> Terms.pinged(node, pinged, now);
+      case NodeEvent.PeerPonged ponged -> Terms.ponged(node, ponged, now);
       case NodeEvent.PeerAnswered answered -> Delivery.peerAnswered(node, answered);
       case NodeEvent.PeerDeclined declined -> Delivery.declined(node, declined, now);
       case NodeEvent.LinkUp up -> Delivery.linkUp(node, up.address(), now);
--- a/core/src/main/java/dev/toucanstall/core/node/Terms.java
+++ b/core/src/main/java/dev/toucanstall/core/node/Terms.java
@@ -27,20 +27,48 @@
   private Terms() {}
 
   static void joined(Node node, boolean holder, Now now) {
-    if (!holder
-        || planned(node)
-        || node.electing
+    if (holder && !planned(node)) {
+      elect(node, "no instance plans", now);
+    }
+  }
+
+  private static void elect(Node node, String why, Now now) {
+    if (node.electing
         || node.stopping
         || node.catalog == null
         || now.steadyMs() < node.electAfterMs) {
       return;
     }
     node.electing = true;
-    node.note("election-begun");
+    node.note("election-begun", "why", why, "cores", Double.toString(node.size.cores()));
     Leader known = node.leader;
     node.emit(new NodeEffect.Elect(known == null ? 0 : known.epoch()));
   }
 
+  /**
+   * Answers a follower. The group of entry instances names any of them as planner; one that is too
+   * small for it asks the largest to plan instead.
+   */
+  static void pinged(Node node, NodeEvent.PeerPinged pinged, Now now) {
+    boolean yields = false;
+    if (node.plan != null) {
+      node.followers.pinged(pinged.link(), pinged.cores(), now.steadyMs());
+      yields =
+          node.followers
+              .better(node.size, now.steadyMs())
+              .filter(link -> link == pinged.link())
+              .isPresent();
+    }
+    node.emit(new NodeEffect.AnswerPing(pinged.link(), plansWell(node, now), yields));
+  }
+
+  static void ponged(Node node, NodeEvent.PeerPonged ponged, Now now) {
+    node.leaderPlans = ponged.plans();
+    if (ponged.yields() && node.plan == null) {
+      elect(node, "a smaller instance plans", now);
+    }
+  }
+
   /** Tells whether some entry instance plans, as far as this one knows. */
   private static boolean planned(Node node) {
     return node.plan != null || (node.leaderReachable && node.leaderPlans);
@@ -72,6 +100,7 @@
       node.note("election-dropped", "why", "no configuration is known");
       return;
     }
+    node.followers.clear();
     node.plan = new Plan(elected.epoch(), elected.firstSequence(), catalog, elected.records(), now);
     node.note(
         "planner-elected",
--- /dev/null
+++ b/core/src/test/java/dev/toucanstall/core/node/FollowersTest.java
@@ -0,0 +1,66 @@
+package dev.toucanstall.core.node;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import dev.toucanstall.core.model.InstanceSize;
+import org.junit.jupiter.api.Test;
+
+/** Which follower should plan in place of an instance that is too small for it. */
+final class FollowersTest {
+
+  private static final InstanceSize SMALL = new InstanceSize(0.36, 330, 7);
+
+  private final Followers followers = new Followers();
+
+  private void ping(long fromMs, long untilMs, long link, double cores) {
+    for (long at = fromMs; at <= untilMs; at += 200) {
+      followers.pinged(link, cores, at);
+    }
+  }
+
+  @Test
+  void largestFollowerIsChosenOnceItHasStayedOneSecond() {
+    ping(0, 800, 1, 0.75);
+    ping(0, 800, 2, 1.5);
+    assertThat(followers.better(SMALL, 800)).isEmpty();
+    ping(1_000, 1_000, 1, 0.75);
+    ping(1_000, 1_000, 2, 1.5);
+    assertThat(followers.better(SMALL, 1_000)).hasValue(2L);
+  }
+
+  @Test
+  void ofEqualFollowersTheOneThatLinkedFirstIsChosen() {
+    ping(0, 1_000, 7, 1.5);
+    ping(0, 1_000, 3, 1.5);
+    assertThat(followers.better(SMALL, 1_000)).hasValue(3L);
+  }
+
+  @Test
+  void followerOfSimilarSizeIsNotChosen() {
+    ping(0, 2_000, 1, 1.0);
+    assertThat(followers.better(new InstanceSize(0.75, 430, 140), 2_000)).isEmpty();
+  }
+
+  @Test
+  void followerThatIsNotFitOrSilentIsNotChosen() {
+    ping(0, 2_000, 1, 1.5);
+    followers.pinged(1, 0, 2_000);
+    assertThat(followers.better(SMALL, 2_000)).isEmpty();
+    ping(2_000, 4_000, 2, 1.5);
+    ping(5_200, 5_200, 3, 0.36);
+    assertThat(followers.better(SMALL, 5_200)).isEmpty();
+  }
+
+  @Test
+  void followersOfAnEarlierTermAreForgotten() {
+    ping(0, 2_000, 1, 1.5);
+    followers.clear();
+    assertThat(followers.better(SMALL, 2_000)).isEmpty();
+  }
+
+  @Test
+  void instanceOfUnknownSizeGoesOn() {
+    ping(0, 2_000, 1, 1.5);
+    assertThat(followers.better(InstanceSize.UNKNOWN, 2_000)).isEmpty();
+  }
+}
--- a/core/src/test/java/dev/toucanstall/core/node/NodeTest.java
+++ b/core/src/test/java/dev/toucanstall/core/node/NodeTest.java
@@ -12,6 +12,7 @@
 import dev.toucanstall.core.job.Resources;
 import dev.toucanstall.core.job.StepSpec;
 import dev.toucanstall.core.model.Address;
+import dev.toucanstall.core.model.InstanceSize;
 import dev.toucanstall.core.plan.Now;
 import dev.toucanstall.core.plan.PlanEffect;
 import dev.toucanstall.core.plan.PlanEvent;
@@ -46,7 +47,7 @@
           0);
   private static final String JOB = "0123456789abcdef";
 
-  private final Node node = new Node("n1");
+  private final Node node = new Node("n1", new InstanceSize(0.36, 330, 7));
   private final List<NodeEffect> effects = new ArrayList<>();
   private long nowMs = 1_000_000;
   private long wallMs = 5_000_000;
@@ -229,10 +230,10 @@
   void holderElectsItselfOnlyWhileThePlannerIsUnfit() {
     readCatalog(catalog(1, "key"));
     followOther(1);
-    tell(new NodeEvent.PeerPonged(true));
+    tell(new NodeEvent.PeerPonged(true, false));
     tell(new NodeEvent.Joined(true));
     assertThat(effects).doesNotContain(new NodeEffect.Elect(1));
-    tell(new NodeEvent.PeerPonged(false));
+    tell(new NodeEvent.PeerPonged(false, false));
     tell(new NodeEvent.Joined(true));
     assertThat(effects).contains(new NodeEffect.Elect(1));
   }
@@ -242,12 +243,12 @@
     readCatalog(catalog(1, "key"));
     tell(new NodeEvent.Joined(true));
     tell(new NodeEvent.Elected(1, 7, List.of()));
-    tell(new NodeEvent.PeerPinged(4));
-    assertThat(effects).contains(new NodeEffect.AnswerPing(4, true));
+    tell(new NodeEvent.PeerPinged(4, 1));
+    assertThat(effects).contains(new NodeEffect.AnswerPing(4, true, false));
     effects.clear();
     pass(1_301);
-    tell(new NodeEvent.PeerPinged(4));
-    assertThat(effects).contains(new NodeEffect.AnswerPing(4, false));
+    tell(new NodeEvent.PeerPinged(4, 1));
+    assertThat(effects).contains(new NodeEffect.AnswerPing(4, false, false));
   }
 
   @Test
@@ -255,7 +256,7 @@
     readCatalog(catalog(1, "key"));
     followOther(1);
     submit(1);
-    tell(new NodeEvent.PeerPonged(false));
+    tell(new NodeEvent.PeerPonged(false, false));
     tell(new NodeEvent.Joined(true));
     tell(new NodeEvent.Elected(2, 7, List.of()));
     tell(new NodeEvent.PeerAnswered(OTHER, 1, refused(Reason.NO_PLANNER, 1_000)));
@@ -284,4 +285,49 @@
     assertThat(effects).contains(new NodeEffect.DeclinePeer(4, 9, true));
     assertThat(node.plans()).isFalse();
   }
+
+  private NodeEffect.AnswerPing pingForOneSecond(double cores) {
+    for (int i = 0; i < 5; i++) {
+      tell(new NodeEvent.PeerPinged(4, cores));
+      pass(200);
+    }
+    effects.clear();
+    tell(new NodeEvent.PeerPinged(4, cores));
+    return effects.stream()
+        .filter(e -> e instanceof NodeEffect.AnswerPing)
+        .map(e -> (NodeEffect.AnswerPing) e)
+        .findFirst()
+        .orElseThrow();
+  }
+
+  // Too little was served while the smallest instance planned and much larger ones stood by.
+  @Test
+  void plannerAsksMuchLargerInstanceToPlan() {
+    readCatalog(catalog(1, "key"));
+    tell(new NodeEvent.Joined(true));
+    tell(new NodeEvent.Elected(1, 7, List.of()));
+    assertThat(pingForOneSecond(0.5).yields()).isFalse();
+    assertThat(pingForOneSecond(0.75).yields()).isTrue();
+  }
+
+  // Too little was served while the smallest instance planned and much larger ones stood by.
+  @Test
+  void instanceThatIsAskedToPlanElectsItself() {
+    readCatalog(catalog(1, "key"));
+    followOther(3);
+    tell(new NodeEvent.PeerPonged(true, false));
+    assertThat(effects).doesNotContain(new NodeEffect.Elect(3));
+    tell(new NodeEvent.PeerPonged(true, true));
+    assertThat(effects).contains(new NodeEffect.Elect(3));
+  }
+
+  @Test
+  void instanceThatIsStoppingOrKnowsNoConfigurationDoesNotPlanInPlaceOfAnother() {
+    followOther(3);
+    tell(new NodeEvent.PeerPonged(true, true));
+    readCatalog(catalog(1, "key"));
+    tell(new NodeEvent.StopAsked());
+    tell(new NodeEvent.PeerPonged(true, true));
+    assertThat(effects).doesNotContain(new NodeEffect.Elect(3));
+  }
 }
--- a/entry/src/main/java/dev/toucanstall/entry/node/NodeProcess.java
+++ b/entry/src/main/java/dev/toucanstall/entry/node/NodeProcess.java
@@ -86,7 +86,7 @@
     status = new StatusLog(store);
     handler = new JobHandler((ticket, call) -> post(new NodeEvent.Called(ticket, call)));
     peers = new PlannerServer(settings.peers(), this::post);
-    planner = new PlannerLink(this::post);
+    planner = new PlannerLink(this::post, () -> ready ? settings.size().cores() : 0);
     NodeRunner runner =
         new NodeRunner(
             settings,
@@ -103,7 +103,7 @@
     loop =
         new ControlLoop<>(
             "control",
-            new Node(settings.name()),
+            new Node(settings.name(), settings.size()),
             (node, event) -> new Decision<>(node, NodeReducer.reduce(node, event, clock.now())),
             runner,
             (event, e) -> LogLine.of("decision-failed").with("event", event).error(LOG, e),
--- a/entry/src/main/java/dev/toucanstall/entry/node/NodeRunner.java
+++ b/entry/src/main/java/dev/toucanstall/entry/node/NodeRunner.java
@@ -91,7 +91,7 @@
       case NodeEffect.AnswerPeer answer ->
           peers.send(answer.link(), new NodeMessage.Reply(answer.number(), answer.answer()));
       case NodeEffect.AnswerPing answer ->
-          peers.send(answer.link(), new NodeMessage.Pong(answer.plans()));
+          peers.send(answer.link(), new NodeMessage.Pong(answer.plans(), answer.yields()));
       case NodeEffect.DeclinePeer decline ->
           peers.send(decline.link(), new NodeMessage.NotPlanner(decline.number(), decline.taken()));
       case NodeEffect.Follow follow -> planner.follow(follow.planner());
--- a/entry/src/main/java/dev/toucanstall/entry/node/PlannerLink.java
+++ b/entry/src/main/java/dev/toucanstall/entry/node/PlannerLink.java
@@ -12,6 +12,7 @@
 import java.net.InetSocketAddress;
 import java.net.Socket;
 import java.util.function.Consumer;
+import java.util.function.DoubleSupplier;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 import org.jspecify.annotations.Nullable;
@@ -29,14 +30,23 @@
   private static final long PAUSE_MILLIS = 200;
 
   private final Consumer<NodeEvent> events;
+  private final DoubleSupplier fitness;
   private final Thread pings =
       Thread.ofPlatform().name("planner-ping").daemon().unstarted(this::ping);
   private volatile boolean closed;
   private volatile @Nullable Address planner;
   private volatile @Nullable FrameLink link;
 
-  PlannerLink(Consumer<NodeEvent> events) {
+  /**
+   * Starts to link to whoever is followed.
+   *
+   * @param events takes what comes by the link
+   * @param fitness tells this instance's processor time a second, in cores, or 0 if it is not fit
+   *     to plan; called on another thread
+   */
+  PlannerLink(Consumer<NodeEvent> events, DoubleSupplier fitness) {
     this.events = events;
+    this.fitness = fitness;
     pings.start();
     Thread.ofPlatform().name("planner-dial").daemon().start(this::dial);
   }
@@ -70,7 +80,7 @@
       while (!closed) {
         FrameLink current = link;
         if (current != null) {
-          current.offer(JobCodec.MESSAGES.encode(new NodeMessage.Ping()));
+          current.offer(JobCodec.MESSAGES.encode(new NodeMessage.Ping(fitness.getAsDouble())));
         }
         Thread.sleep(PING_MILLIS);
       }
@@ -127,7 +137,8 @@
           events.accept(new NodeEvent.PeerAnswered(from, reply.number(), reply.answer()));
       case NodeMessage.NotPlanner declined ->
           events.accept(new NodeEvent.PeerDeclined(from, declined.number(), declined.taken()));
-      case NodeMessage.Pong pong -> events.accept(new NodeEvent.PeerPonged(pong.plans()));
+      case NodeMessage.Pong pong ->
+          events.accept(new NodeEvent.PeerPonged(pong.plans(), pong.yields()));
       case NodeMessage.Ping ping -> LogLine.of("ping-unexpected").warn(LOG);
       case NodeMessage.Ask ask ->
           LogLine.of("ask-unexpected").with("number", ask.number()).warn(LOG);
--- a/entry/src/main/java/dev/toucanstall/entry/node/PlannerServer.java
+++ b/entry/src/main/java/dev/toucanstall/entry/node/PlannerServer.java
@@ -78,7 +78,7 @@
     switch (message) {
       case NodeMessage.Ask ask ->
           events.accept(new NodeEvent.PeerAsked(number, ask.number(), ask.call()));
-      case NodeMessage.Ping ping -> events.accept(new NodeEvent.PeerPinged(number));
+      case NodeMessage.Ping ping -> events.accept(new NodeEvent.PeerPinged(number, ping.cores()));
       case NodeMessage.Pong pong -> LogLine.of("pong-unexpected").warn(LOG);
       case NodeMessage.Reply reply ->
           LogLine.of("reply-unexpected").with("number", reply.number()).warn(LOG);
--- a/entry/src/test/java/dev/toucanstall/entry/node/PlannerLinkTest.java
+++ b/entry/src/test/java/dev/toucanstall/entry/node/PlannerLinkTest.java
@@ -22,7 +22,7 @@
   void plannerThatIsElectedAgainKeepsItsLink() throws Exception {
     BlockingQueue<NodeEvent> events = new LinkedBlockingQueue<>();
     try (ServerSocket planner = new ServerSocket(0, 1, InetAddress.getLoopbackAddress());
-        PlannerLink link = new PlannerLink(events::add)) {
+        PlannerLink link = new PlannerLink(events::add, () -> 1)) {
       Address address = new Address("127.0.0.1", planner.getLocalPort());
       link.follow(address);
       try (Socket accepted = planner.accept()) {
--- a/wire/src/test/java/dev/toucanstall/wire/job/JobCodecTest.java
+++ b/wire/src/test/java/dev/toucanstall/wire/job/JobCodecTest.java
@@ -77,8 +77,8 @@
             new NodeMessage.Reply(1, new JobAnswer.Counted(3)),
             new NodeMessage.Reply(1, new JobAnswer.Refused(JobAnswer.Reason.NO_PLANNER, 1_000)),
             new NodeMessage.NotPlanner(1, true),
-            new NodeMessage.Ping(),
-            new NodeMessage.Pong(true)));
+            new NodeMessage.Ping(0.36),
+            new NodeMessage.Pong(true, false)));
   }
 
   @ParameterizedTest
