Tell once a second how long events wait, what decisions and passes take, and on what size

Callers saw refusals and late answers at 30 to 34 entry instances, and no line said how long events wait at the planner, what a pass takes, or how large the planner's instance is. Cause: the control loop measured nothing but the thread's processor time, at each tick. Change: the loop tells an observer when an event was queued, begun, decided and ended; `ControlLoad` writes one `control-load` line a second while the instance plans, each five seconds otherwise. `planner-elected` names cores, memory and link of its instance. The thread's processor time is looked at each half second instead of each tick. No decision changes. Cost: an event takes three looks at the clock, as before two and one in the timed poll, which now comes only when the queue is empty; one record an event. Evidence: new tests of loop, meter, line, size and counts; there was no such line to test before. Not measured under load yet.

--- a/core/src/main/java/dev/toucanstall/core/node/Node.java
+++ b/core/src/main/java/dev/toucanstall/core/node/Node.java
@@ -2,13 +2,16 @@
 
 import dev.toucanstall.core.job.Catalog;
 import dev.toucanstall.core.job.WaveOrder;
+import dev.toucanstall.core.model.InstanceSize;
 import dev.toucanstall.core.plan.Now;
 import dev.toucanstall.core.plan.Plan;
+import dev.toucanstall.core.plan.PlanLoad;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -21,6 +24,7 @@
   record Origin(long link, long number) {}
 
   final String name;
+  final InstanceSize size;
   final Map<Long, Pending> pending = new LinkedHashMap<>();
   final Map<Long, Origin> origins = new HashMap<>();
   final Map<Integer, WaveOrder> waves = new LinkedHashMap<>();
@@ -53,12 +57,32 @@
   private List<NodeEffect> out = new ArrayList<>();
 
   /**
-   * Creates the state of an entry instance that knows nothing yet.
+   * Creates the state of an entry instance of unknown size that knows nothing yet.
    *
    * @param name the instance's name
    */
   public Node(String name) {
+    this(name, InstanceSize.UNKNOWN);
+  }
+
+  /**
+   * Creates the state of an entry instance that knows nothing yet.
+   *
+   * @param name the instance's name
+   * @param size what it may use of its machine
+   */
+  public Node(String name, InstanceSize size) {
     this.name = name;
+    this.size = size;
+  }
+
+  /**
+   * Returns what this entry instance may use of its machine.
+   *
+   * @return the size
+   */
+  public InstanceSize size() {
+    return size;
   }
 
   /**
@@ -70,6 +94,25 @@
     return plan != null;
   }
 
+  /**
+   * Returns how many passes this entry instance's planner has made in its term.
+   *
+   * @return the number, 0 if it does not plan
+   */
+  public long passes() {
+    Plan current = plan;
+    return current == null ? 0 : current.passes();
+  }
+
+  /**
+   * Counts what this entry instance's planner looks after.
+   *
+   * @return the counts, empty if it does not plan
+   */
+  public Optional<PlanLoad> load() {
+    return Optional.ofNullable(plan).map(Plan::load);
+  }
+
   void emit(NodeEffect effect) {
     out.add(effect);
   }
--- a/core/src/main/java/dev/toucanstall/core/node/Terms.java
+++ b/core/src/main/java/dev/toucanstall/core/node/Terms.java
@@ -78,7 +78,13 @@
         "epoch",
         Long.toString(elected.epoch()),
         "records",
-        Integer.toString(elected.records().size()));
+        Integer.toString(elected.records().size()),
+        "cores",
+        Double.toString(node.size.cores()),
+        "memory-mb",
+        Long.toString(node.size.memoryMb()),
+        "link-mbps",
+        Double.toString(node.size.linkMbps()));
     node.emit(new NodeEffect.Announce(elected.epoch()));
     node.waves.values().forEach(w -> tell(node, new PlanEvent.WaveOrdered(w), now));
     node.pending.values().stream().filter(p -> p.asked != null).forEach(Pending::lose);
--- a/core/src/main/java/dev/toucanstall/core/plan/Plan.java
+++ b/core/src/main/java/dev/toucanstall/core/plan/Plan.java
@@ -111,6 +111,37 @@
     return openByService.values().stream().mapToInt(Set::size).sum();
   }
 
+  /**
+   * Returns how many passes were made in this term.
+   *
+   * @return the number
+   */
+  public long passes() {
+    return passes;
+  }
+
+  /**
+   * Counts what this planner looks after; looks at each task of the open jobs.
+   *
+   * @return the counts
+   */
+  public PlanLoad load() {
+    int[] tasks = new int[TaskPhase.values().length];
+    openByService.values().stream()
+        .flatMap(Set::stream)
+        .flatMap(Job::tasks)
+        .forEach(task -> tasks[task.phase.ordinal()]++);
+    return new PlanLoad(
+        passes,
+        openJobs(),
+        servers.size(),
+        (int) servers.values().stream().filter(server -> !server.tasks.isEmpty()).count(),
+        tasks[TaskPhase.WAITING.ordinal()],
+        tasks[TaskPhase.ORDERED.ordinal()],
+        tasks[TaskPhase.RUNNING.ordinal()],
+        tasks[TaskPhase.STOPPING.ordinal()]);
+  }
+
   /** Tells whether it is time for a pass, and begins the time to the next. */
   boolean passDue(Now now) {
     if (now.steadyMs() < nextPassMs) {
--- a/core/src/test/java/dev/toucanstall/core/node/NodeTest.java
+++ b/core/src/test/java/dev/toucanstall/core/node/NodeTest.java
@@ -12,12 +12,14 @@
 import dev.toucanstall.core.job.Resources;
 import dev.toucanstall.core.job.StepSpec;
 import dev.toucanstall.core.model.Address;
+import dev.toucanstall.core.model.InstanceSize;
 import dev.toucanstall.core.plan.Now;
 import dev.toucanstall.core.plan.PlanEffect;
 import dev.toucanstall.core.plan.PlanEvent;
 import dev.toucanstall.core.plan.Verdict;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import org.junit.jupiter.api.Test;
@@ -46,7 +48,7 @@
           0);
   private static final String JOB = "0123456789abcdef";
 
-  private final Node node = new Node("n1");
+  private final Node node = new Node("n1", new InstanceSize(0.36, 330, 7));
   private final List<NodeEffect> effects = new ArrayList<>();
   private long nowMs = 1_000_000;
   private long wallMs = 5_000_000;
@@ -237,6 +239,25 @@
     assertThat(effects).contains(new NodeEffect.Elect(1));
   }
 
+  private Map<String, String> noted(String event) {
+    return effects.stream()
+        .filter(e -> e instanceof NodeEffect.Note n && n.event().equals(event))
+        .map(e -> ((NodeEffect.Note) e).fields())
+        .findFirst()
+        .orElseThrow();
+  }
+
+  /** Guards against a planner on too small an instance that no line tells of. */
+  @Test
+  void electedPlannerTellsTheSizeOfItsInstance() {
+    readCatalog(catalog(1, "key"));
+    tell(new NodeEvent.Joined(true));
+    tell(new NodeEvent.Elected(1, 7, List.of()));
+    assertThat(noted("planner-elected"))
+        .containsExactly(
+            "epoch", "1", "records", "0", "cores", "0.36", "memory-mb", "330", "link-mbps", "7.0");
+  }
+
   @Test
   void plannerThatTheStoreDoesNotConfirmSaysThatItIsUnfit() {
     readCatalog(catalog(1, "key"));
--- a/core/src/test/java/dev/toucanstall/core/plan/PlanTest.java
+++ b/core/src/test/java/dev/toucanstall/core/plan/PlanTest.java
@@ -51,6 +51,17 @@
     assertThat(world.broken).isEmpty();
   }
 
+  /** Guards against a planner whose backlog no line tells of. */
+  @Test
+  void loadCountsJobsServersAndTasksByPhase() {
+    PlanWorld world = elected("w1", "w2");
+    world.submit("j", PlanWorld.step(4, 1_000), PlanWorld.step(3, 1_000, 0));
+    world.run(300);
+    PlanLoad load = Objects.requireNonNull(world.planner).plan.load();
+    assertThat(load).isEqualTo(new PlanLoad(load.passes(), 1, 2, 1, 3, 0, 4, 0));
+    assertThat(load.passes()).isAtLeast(1);
+  }
+
   @Test
   void startGoesOutOnlyOnceItsIntentIsStored() {
     PlanWorld world = elected("w1");
--- a/entry/src/main/java/dev/toucanstall/entry/node/NodeProcess.java
+++ b/entry/src/main/java/dev/toucanstall/entry/node/NodeProcess.java
@@ -103,12 +103,13 @@
     loop =
         new ControlLoop<>(
             "control",
-            new Node(settings.name()),
+            new Node(settings.name(), settings.size()),
             (node, event) -> new Decision<>(node, NodeReducer.reduce(node, event, clock.now())),
             runner,
             (event, e) -> LogLine.of("decision-failed").with("event", event).error(LOG, e),
             node -> node.plans() ? PLANNING_TICK : TICK,
             nanos -> new NodeEvent.Tick());
+    loop.observe(new ControlLoad(loop::backlog, loop::cpuNanos, line -> line.info(LOG)));
     clients = HttpServers.plain("clients", settings.clients(), handler);
     readiness =
         HttpServers.plain(
--- a/runtime/src/main/java/dev/toucanstall/runtime/log/LogLine.java
+++ b/runtime/src/main/java/dev/toucanstall/runtime/log/LogLine.java
@@ -1,5 +1,6 @@
 package dev.toucanstall.runtime.log;
 
+import java.util.Map;
 import org.apache.logging.log4j.Level;
 import org.apache.logging.log4j.Logger;
 import org.apache.logging.log4j.message.StringMapMessage;
@@ -41,6 +42,15 @@
     return this;
   }
 
+  /**
+   * Returns the fields, the name of the event among them.
+   *
+   * @return the values by name
+   */
+  public Map<String, String> fields() {
+    return message.getData();
+  }
+
   /**
    * Writes the line as information.
    *
--- a/runtime/src/main/java/dev/toucanstall/runtime/loop/ControlLoop.java
+++ b/runtime/src/main/java/dev/toucanstall/runtime/loop/ControlLoop.java
@@ -22,7 +22,10 @@
 
   private static final long JOIN_MILLIS = 2_000;
 
-  private final BlockingQueue<E> queue = new LinkedBlockingQueue<>();
+  /** Time between two looks at the processor time of the thread, each a system call. */
+  private static final long CPU_LOOK_NANOS = TimeUnit.MILLISECONDS.toNanos(500);
+
+  private final BlockingQueue<Posted<E>> queue = new LinkedBlockingQueue<>();
   private final Decider<S, E, F> decider;
   private final Consumer<F> interpreter;
   private final BiConsumer<E, RuntimeException> onFailure;
@@ -31,8 +34,13 @@
   private final Thread thread;
   private volatile boolean closed;
   private volatile long cpuNanos;
+  private LoopObserver<S, E> observer =
+      (after, event, postedNanos, begunNanos, decidedNanos, endedNanos) -> {};
   private S state;
 
+  /** An event and when it was queued. */
+  private record Posted<E>(E event, long nanos) {}
+
   /**
    * Creates a loop; {@link #start} starts it.
    *
@@ -83,6 +91,15 @@
     this.thread = new Thread(this::run, name);
   }
 
+  /**
+   * Tells an observer of each event; to be called before {@link #start}.
+   *
+   * @param next the observer
+   */
+  public void observe(LoopObserver<S, E> next) {
+    observer = next;
+  }
+
   /** Starts the thread. */
   public void start() {
     thread.start();
@@ -94,7 +111,7 @@
    * @param event the event
    */
   public void post(E event) {
-    queue.add(event);
+    queue.add(new Posted<>(event, System.nanoTime()));
   }
 
   /**
@@ -107,7 +124,7 @@
   }
 
   /**
-   * Returns the processor time that the thread has used, as of its last tick.
+   * Returns the processor time that the thread has used, as of half a second ago.
    *
    * @return nanoseconds
    */
@@ -116,22 +133,30 @@
   }
 
   private void run() {
-    long nextTick = System.nanoTime();
+    long now = System.nanoTime();
+    long nextTick = now;
+    long nextCpuLook = now;
     while (!closed) {
-      long wait = nextTick - System.nanoTime();
-      E event = wait > 0 ? take(wait) : null;
-      if (event != null) {
-        handle(event);
+      Posted<E> posted = nextTick - now > 0 ? queue.poll() : null;
+      if (posted == null && nextTick - now > 0) {
+        posted = take(nextTick - now);
+        now = System.nanoTime();
       }
-      if (nextTick - System.nanoTime() <= 0) {
-        handle(tick.apply(System.nanoTime()));
-        nextTick = System.nanoTime() + tickEvery.apply(state).toNanos();
+      if (posted != null) {
+        now = handle(posted.event(), posted.nanos(), now);
+      }
+      if (nextTick - now <= 0) {
+        now = handle(tick.apply(now), nextTick, now);
+        nextTick = now + tickEvery.apply(state).toNanos();
+      }
+      if (nextCpuLook - now <= 0) {
         cpuNanos = ThreadTimes.currentCpuNanos();
+        nextCpuLook = now + CPU_LOOK_NANOS;
       }
     }
   }
 
-  private @Nullable E take(long waitNanos) {
+  private @Nullable Posted<E> take(long waitNanos) {
     try {
       return queue.poll(waitNanos, TimeUnit.NANOSECONDS);
     } catch (InterruptedException e) {
@@ -140,16 +165,26 @@
     }
   }
 
-  private void handle(E event) {
+  /** Handles an event whose decision begins now, and returns the time after it. */
+  private long handle(E event, long postedNanos, long begunNanos) {
+    long decided = begunNanos;
     try {
       Decision<S, F> decision = decider.decide(state, event);
       state = decision.state();
+      decided = System.nanoTime();
       for (F effect : decision.effects()) {
         interpreter.accept(effect);
       }
     } catch (RuntimeException e) {
       onFailure.accept(event, e);
     }
+    long ended = System.nanoTime();
+    try {
+      observer.handled(state, event, postedNanos, begunNanos, decided, ended);
+    } catch (RuntimeException e) {
+      onFailure.accept(event, e);
+    }
+    return ended;
   }
 
   @Override
