--- a/core/src/main/java/dev/toucanstall/core/node/Node.java
+++ b/core/src/main/java/dev/toucanstall/core/node/Node.java
@@ -5,11 +5,13 @@
 import dev.toucanstall.core.model.InstanceSize;
 import dev.toucanstall.core.plan.Now;
 import dev.toucanstall.core.plan.Plan;
+import dev.toucanstall.core.plan.PlanLoad;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -22,7 +24,6 @@
   record Origin(long link, long number) {}
 
   final String name;
-
   final InstanceSize size;
 
   /** The entry instances that follow this one. */
@@ -79,6 +80,15 @@
     this.size = size;
   }
 
+  /**
+   * Returns what this entry instance may use of its machine.
+   *
+   * @return the size
+   */
+  public InstanceSize size() {
+    return size;
+  }
+
   /**
    * Tells whether this entry instance plans.
    *
@@ -88,6 +98,25 @@
     return plan != null;
   }
 
+  /**
+   * Returns how many passes this entry instance's planner has made in its term.
+   *
+   * @return the number, 0 if it does not plan
+   */
+  public long passes() {
+    Plan current = plan;
+    return current == null ? 0 : current.passes();
+  }
+
+  /**
+   * Counts what this entry instance's planner looks after.
+   *
+   * @return the counts, empty if it does not plan
+   */
+  public Optional<PlanLoad> load() {
+    return Optional.ofNullable(plan).map(Plan::load);
+  }
+
   void emit(NodeEffect effect) {
     out.add(effect);
   }
--- a/entry/src/main/java/dev/toucanstall/entry/node/NodeProcess.java
+++ b/entry/src/main/java/dev/toucanstall/entry/node/NodeProcess.java
@@ -109,6 +109,7 @@
             (event, e) -> LogLine.of("decision-failed").with("event", event).error(LOG, e),
             node -> node.plans() ? PLANNING_TICK : TICK,
             nanos -> new NodeEvent.Tick());
+    loop.observe(new ControlLoad(loop::backlog, loop::cpuNanos, line -> line.info(LOG)));
     clients = HttpServers.plain("clients", settings.clients(), handler);
     readiness =
         HttpServers.plain(
