Give a planner that was just named or linked to time to say that it plans

Cause: the group named an instance of 0.36 cores as holder at -16.0 s. Its link to the planner, of 1.5 cores, came up at -15.998 s and it began an election at -15.990 s, as the planner had not yet said that it plans: unknown was taken for unfit. A planner that had handed over took the planning back at -12.70 s in the same way, before its successor was named. Change: a planner that was named, linked to, or has refused our fencing token gets a second to say whether it plans; a link that can't be made ends the wait. Tests: holderDoesNotReplacePlannerThatItHasJustLinkedTo and plannerThatIsReplacedWaitsForItsSuccessorToBeNamed failed before (Elect in the effects).

--- a/core/src/main/java/dev/toucanstall/core/node/Delivery.java
+++ b/core/src/main/java/dev/toucanstall/core/node/Delivery.java
@@ -114,6 +114,7 @@
       node.note("planner-reachable", "planner", leader.member());
       node.leaderReachable = true;
       node.linking = false;
+      Terms.awaitLeader(node, now);
       sendWaiting(node, now);
     }
   }
@@ -126,6 +127,7 @@
       }
       node.leaderReachable = false;
       node.leaderPlans = false;
+      node.leaderUnheardUntilMs = 0;
       node.linking = false;
     }
     node.pending.values().stream()
--- a/core/src/main/java/dev/toucanstall/core/node/Node.java
+++ b/core/src/main/java/dev/toucanstall/core/node/Node.java
@@ -47,6 +47,9 @@
   /** Whether the planner said lately that it plans and the store confirms it. */
   boolean leaderPlans;
 
+  /** Until when a planner that was just named or linked to may not have said whether it plans. */
+  long leaderUnheardUntilMs;
+
   /** Whether the group is asked more often for want of a planner. */
   boolean hurried = true;
 
--- a/core/src/main/java/dev/toucanstall/core/node/NodeReducer.java
+++ b/core/src/main/java/dev/toucanstall/core/node/NodeReducer.java
@@ -41,7 +41,7 @@
       case NodeEvent.ForPlan forPlan -> Terms.tell(node, forPlan.epoch(), forPlan.event(), now);
       case NodeEvent.StopAsked stop -> Terms.stop(node, now);
     }
-    Terms.updateHurry(node);
+    Terms.updateHurry(node, now);
     FreshnessRules.updateReadiness(node, now);
     return node.takeEffects();
   }
--- a/core/src/main/java/dev/toucanstall/core/node/Terms.java
+++ b/core/src/main/java/dev/toucanstall/core/node/Terms.java
@@ -21,13 +21,19 @@
    */
   private static final long UNFIT_MS = 1_300;
 
+  /**
+   * How long a planner that was just named or linked to may take to say whether it plans, in
+   * milliseconds; a link that can't be made ends the wait.
+   */
+  private static final long UNHEARD_MS = 1_000;
+
   /** How long a stopping process goes on answering, in milliseconds. */
   private static final long STOP_MS = 3_000;
 
   private Terms() {}
 
   static void joined(Node node, boolean holder, Now now) {
-    if (holder && !planned(node)) {
+    if (holder && !planned(node, now)) {
       elect(node, "no instance plans", now);
     }
   }
@@ -64,18 +70,29 @@
 
   static void ponged(Node node, NodeEvent.PeerPonged ponged, Now now) {
     node.leaderPlans = ponged.plans();
+    node.leaderUnheardUntilMs = 0;
     if (ponged.yields() && node.plan == null) {
       elect(node, "a smaller instance plans", now);
     }
   }
 
-  /** Tells whether some entry instance plans, as far as this one knows. */
-  private static boolean planned(Node node) {
-    return node.plan != null || (node.leaderReachable && node.leaderPlans);
+  /**
+   * Tells whether some entry instance plans, as far as this one knows. One that was just named or
+   * linked to gets time to say so.
+   */
+  private static boolean planned(Node node, Now now) {
+    return node.plan != null
+        || now.steadyMs() < node.leaderUnheardUntilMs
+        || (node.leaderReachable && node.leaderPlans);
+  }
+
+  /** Gives the planner time to say whether it plans. */
+  static void awaitLeader(Node node, Now now) {
+    node.leaderUnheardUntilMs = now.steadyMs() + UNHEARD_MS;
   }
 
-  static void updateHurry(Node node) {
-    boolean hurried = !planned(node);
+  static void updateHurry(Node node, Now now) {
+    boolean hurried = !planned(node, now);
     if (hurried != node.hurried) {
       node.hurried = hurried;
       node.emit(new NodeEffect.HurryGroup(hurried));
@@ -129,6 +146,7 @@
     node.leaderReachable = false;
     node.linking = true;
     node.leaderPlans = false;
+    awaitLeader(node, now);
     node.note("planner-named", "planner", leader.member(), "epoch", Long.toString(leader.epoch()));
     node.emit(new NodeEffect.Follow(leader.address()));
     Plan plan = node.plan;
@@ -165,6 +183,7 @@
         case PlanEffect.Answer answer -> Delivery.answered(node, answer.ticket(), answer.answer());
         case PlanEffect.Resign resign -> {
           resign(node, resign.why());
+          awaitLeader(node, now);
           return;
         }
         case PlanEffect.Note note -> node.emit(new NodeEffect.Note(note.event(), note.fields()));
--- a/core/src/test/java/dev/toucanstall/core/node/NodeTest.java
+++ b/core/src/test/java/dev/toucanstall/core/node/NodeTest.java
@@ -293,15 +293,7 @@
     JobSpec spec = new JobSpec("", List.of(STEP), 1, 0, 0);
     tell(new NodeEvent.PeerAsked(4, 9, new JobCall.Submit(JOB, "q", "a", spec)));
     pass(20);
-    PlanEffect.Append append =
-        effects.stream()
-            .filter(
-                e -> e instanceof NodeEffect.OfPlan p && p.effect() instanceof PlanEffect.Append)
-            .map(e -> (PlanEffect.Append) ((NodeEffect.OfPlan) e).effect())
-            .findFirst()
-            .orElseThrow();
-    tell(
-        new NodeEvent.ForPlan(1, new PlanEvent.Appended(append.sequence(), nowMs, Verdict.FENCED)));
+    sendFencedAppend();
     assertThat(effects).contains(new NodeEffect.DeclinePeer(4, 9, true));
     assertThat(node.plans()).isFalse();
   }
@@ -350,4 +342,58 @@
     tell(new NodeEvent.PeerPonged(true, true));
     assertThat(effects).doesNotContain(new NodeEffect.Elect(3));
   }
+
+  // The smallest instance took the planning over on a calm day, in the 8 ms between its link to the
+  // planner and the planner's first word.
+  @Test
+  void holderDoesNotReplacePlannerThatItHasJustLinkedTo() {
+    readCatalog(catalog(1, "key"));
+    tell(new NodeEvent.LeaderRead(new Leader(3, "n2", OTHER)));
+    tell(new NodeEvent.Joined(true));
+    tell(new NodeEvent.LinkUp(OTHER));
+    pass(8);
+    tell(new NodeEvent.Joined(true));
+    assertThat(effects).doesNotContain(new NodeEffect.Elect(3));
+    pass(1_000);
+    tell(new NodeEvent.Joined(true));
+    assertThat(effects).contains(new NodeEffect.Elect(3));
+  }
+
+  @Test
+  void holderReplacesNamedPlannerThatItCannotLinkTo() {
+    readCatalog(catalog(1, "key"));
+    tell(new NodeEvent.LeaderRead(new Leader(3, "n2", OTHER)));
+    tell(new NodeEvent.LinkDown(OTHER, "refused"));
+    tell(new NodeEvent.Joined(true));
+    assertThat(effects).contains(new NodeEffect.Elect(3));
+  }
+
+  // A planner that had handed over took the planning back before its successor was named.
+  @Test
+  void plannerThatIsReplacedWaitsForItsSuccessorToBeNamed() {
+    readCatalog(catalog(1, "key"));
+    tell(new NodeEvent.Joined(true));
+    tell(new NodeEvent.Elected(1, 7, List.of()));
+    effects.clear();
+    pass(700);
+    sendFencedAppend();
+    assertThat(node.plans()).isFalse();
+    tell(new NodeEvent.Joined(true));
+    assertThat(effects).doesNotContain(new NodeEffect.Elect(0));
+    pass(1_000);
+    tell(new NodeEvent.Joined(true));
+    assertThat(effects).contains(new NodeEffect.Elect(0));
+  }
+
+  private void sendFencedAppend() {
+    PlanEffect.Append append =
+        effects.stream()
+            .filter(
+                e -> e instanceof NodeEffect.OfPlan p && p.effect() instanceof PlanEffect.Append)
+            .map(e -> (PlanEffect.Append) ((NodeEffect.OfPlan) e).effect())
+            .findFirst()
+            .orElseThrow();
+    tell(
+        new NodeEvent.ForPlan(1, new PlanEvent.Appended(append.sequence(), nowMs, Verdict.FENCED)));
+  }
 }
