Write lines on a thread of their own, count dropped ones, and show metrics

Callers saw refusals; lines of the time were written by the control thread, those over the burst were dropped without a trace, and no metric could be read on the platform. Change: `LineGate` bounds lines as before and counts them and those dropped, by event; `lines-dropped` tells them; Log4j's asynchronous appender writes, without blocking. `control-load` names the kinds of events and effects that took most. `/metrics` shows waits, decisions, passes, effects, calls by outcome, replies of the planner, orders and appends by verdict, lines and what the planner looks after, from meters with one writer; the registry is made when somebody first asks. Evidence: tests of gate, kinds, line and page; the bound of lines had no test before. Not measured under load yet.

--- a/entry/src/main/java/dev/toucanstall/entry/node/ControlLoad.java
+++ b/entry/src/main/java/dev/toucanstall/entry/node/ControlLoad.java
@@ -1,21 +1,23 @@
 package dev.toucanstall.entry.node;
 
-import dev.toucanstall.core.model.InstanceSize;
 import dev.toucanstall.core.node.Node;
+import dev.toucanstall.core.node.NodeEffect;
 import dev.toucanstall.core.node.NodeEvent;
 import dev.toucanstall.core.plan.PlanLoad;
 import dev.toucanstall.runtime.log.LogLine;
 import dev.toucanstall.runtime.loop.LoopObserver;
+import dev.toucanstall.runtime.meter.KindMeters;
 import dev.toucanstall.runtime.meter.TimeMeter;
 import java.lang.management.GarbageCollectorMXBean;
 import java.lang.management.ManagementFactory;
 import java.util.List;
 import java.util.Map;
-import java.util.concurrent.ConcurrentHashMap;
+import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import java.util.function.IntSupplier;
 import java.util.function.LongSupplier;
+import java.util.function.Supplier;
 
 /**
  * Measures what the control thread does with its time, and tells it in a line: each second while
@@ -28,14 +30,19 @@
   private static final long OTHERWISE_NANOS = TimeUnit.SECONDS.toNanos(5);
 
   private final TimeMeter waits = new TimeMeter();
-  private final TimeMeter effects = new TimeMeter();
   private final TimeMeter passes = new TimeMeter();
-  private final Map<Class<?>, TimeMeter> decisions = new ConcurrentHashMap<>();
+  private final KindMeters decisions = new KindMeters();
+  private final KindMeters effects = new KindMeters();
   private final List<GarbageCollectorMXBean> collectors =
       ManagementFactory.getGarbageCollectorMXBeans();
+  private final CallTimes calls = new CallTimes();
   private final IntSupplier queued;
   private final LongSupplier cpuNanos;
+  private final Supplier<Map<String, Long>> dropped;
   private final Consumer<LogLine> lines;
+  private volatile long configurationNanos = System.nanoTime();
+  private volatile Optional<PlanLoad> planLoad = Optional.empty();
+  private Map<String, Long> lastDropped = Map.of();
   private long lastPasses;
   private long lastCpuNanos;
   private long lastCollectorMillis;
@@ -47,11 +54,17 @@
    *
    * @param queued how many events wait
    * @param cpuNanos processor time of the control thread in nanoseconds
-   * @param lines writes a line
+   * @param dropped how many lines were dropped since the start, by event
+   * @param lines writes a line, also if others are dropped
    */
-  ControlLoad(IntSupplier queued, LongSupplier cpuNanos, Consumer<LogLine> lines) {
+  ControlLoad(
+      IntSupplier queued,
+      LongSupplier cpuNanos,
+      Supplier<Map<String, Long>> dropped,
+      Consumer<LogLine> lines) {
     this.queued = queued;
     this.cpuNanos = cpuNanos;
+    this.dropped = dropped;
     this.lines = lines;
   }
 
@@ -64,11 +77,12 @@
       long decidedNanos,
       long endedNanos) {
     waits.record(begunNanos - postedNanos);
-    decisions
-        .computeIfAbsent(kind(event), kind -> new TimeMeter())
-        .record(decidedNanos - begunNanos);
-    effects.record(endedNanos - decidedNanos);
+    decisions.record(kind(event), decidedNanos - begunNanos);
     long passesNow = node.passes();
+    calls.took(event, postedNanos);
+    if (event instanceof NodeEvent.CatalogRead) {
+      configurationNanos = postedNanos;
+    }
     if (passesNow != lastPasses) {
       lastPasses = passesNow;
       passes.record(decidedNanos - begunNanos);
@@ -83,46 +97,100 @@
     }
   }
 
-  private static Class<?> kind(NodeEvent event) {
-    return event instanceof NodeEvent.ForPlan forPlan
-        ? forPlan.event().getClass()
-        : event.getClass();
+  private static String kind(NodeEvent event) {
+    Object told = event instanceof NodeEvent.ForPlan forPlan ? forPlan.event() : event;
+    return told.getClass().getSimpleName();
+  }
+
+  /** Takes note of an effect that was handed over, on the control thread. */
+  void carriedOut(NodeEffect effect, long begunNanos, long endedNanos) {
+    calls.gave(effect, begunNanos);
+    final long nanos = endedNanos - begunNanos;
+    Object wanted = effect instanceof NodeEffect.OfPlan ofPlan ? ofPlan.effect() : effect;
+    effects.record(wanted.getClass().getSimpleName(), nanos);
   }
 
   private void tell(Node node, long spanNanos) {
     TimeMeter.Recent waited = waits.takeRecent();
-    TimeMeter.Recent carriedOut = effects.takeRecent();
     TimeMeter.Recent passed = passes.takeRecent();
-    long decidedNanos = 0;
-    long longestNanos = 0;
-    String longestKind = "";
-    for (Map.Entry<Class<?>, TimeMeter> kind : decisions.entrySet()) {
-      TimeMeter.Recent recent = kind.getValue().takeRecent();
-      decidedNanos += recent.totalNanos();
-      if (recent.longestNanos() > longestNanos) {
-        longestNanos = recent.longestNanos();
-        longestKind = kind.getKey().getSimpleName();
-      }
-    }
-    InstanceSize size = node.size();
+    KindMeters.Recent decided = decisions.takeRecent();
+    KindMeters.Recent carriedOut = effects.takeRecent();
     LogLine line =
         LogLine.of("control-load")
             .with("plans", node.plans())
-            .with("cores", size.cores())
+            .with("cores", node.size().cores())
             .with("span-ms", millis(spanNanos))
             .with("events", waited.count())
             .with("wait-mean-us", micros(waited.meanNanos()))
             .with("wait-longest-us", micros(waited.longestNanos()))
             .with("queued", queued.getAsInt())
-            .with("decided-ms", millis(decidedNanos))
-            .with("decision-longest-us", micros(longestNanos))
-            .with("decision-longest", longestKind)
+            .with("decided-ms", millis(decided.totalNanos()))
+            .with("decision-longest-us", micros(decided.longestNanos()))
+            .with("decision-longest", decided.longestKind())
+            .with("decisions-most-ms", decided.most())
             .with("effects-ms", millis(carriedOut.totalNanos()))
-            .with("effects-longest-us", micros(carriedOut.longestNanos()))
+            .with("effect-longest-us", micros(carriedOut.longestNanos()))
+            .with("effect-longest", carriedOut.longestKind())
+            .with("effects-most-ms", carriedOut.most())
             .with("processor-ms", millis(sinceLastCpu()))
             .with("collector-ms", sinceLastCollector());
-    node.load().ifPresent(load -> addPlan(line, passed, load));
+    planLoad = node.load();
+    planLoad.ifPresent(load -> addPlan(line, passed, load));
     lines.accept(line);
+    tellDropped();
+  }
+
+  /** Tells how many lines were dropped since it was last told, by event. */
+  private void tellDropped() {
+    Map<String, Long> now = dropped.get();
+    LogLine line = LogLine.of("lines-dropped");
+    boolean any = false;
+    for (Map.Entry<String, Long> entry : now.entrySet()) {
+      long fresh = entry.getValue() - lastDropped.getOrDefault(entry.getKey(), 0L);
+      if (fresh > 0) {
+        line.with(entry.getKey(), fresh);
+        any = true;
+      }
+    }
+    lastDropped = now;
+    if (any) {
+      lines.accept(line);
+    }
+  }
+
+  /** Returns how long events wait in the queue. */
+  TimeMeter waits() {
+    return waits;
+  }
+
+  /** Returns how long decisions with a pass take. */
+  TimeMeter passes() {
+    return passes;
+  }
+
+  /** Returns how long decisions take, by the kind of their event. */
+  KindMeters decisions() {
+    return decisions;
+  }
+
+  /** Returns how long effects take to hand over, by kind. */
+  KindMeters effects() {
+    return effects;
+  }
+
+  /** Returns how long ago the store last told of the configuration, in seconds. */
+  double configurationAgeSeconds() {
+    return (System.nanoTime() - configurationNanos) / 1e9;
+  }
+
+  /** Returns how long calls take. */
+  CallTimes calls() {
+    return calls;
+  }
+
+  /** Returns what the planner looked after when it was last told, empty if there is none here. */
+  Optional<PlanLoad> planLoad() {
+    return planLoad;
   }
 
   private static void addPlan(LogLine line, TimeMeter.Recent passed, PlanLoad load) {
--- a/entry/src/main/java/dev/toucanstall/entry/node/NodeProcess.java
+++ b/entry/src/main/java/dev/toucanstall/entry/node/NodeProcess.java
@@ -3,6 +3,7 @@
 import dev.toucanstall.core.job.Catalog;
 import dev.toucanstall.core.job.ServerEntry;
 import dev.toucanstall.core.job.WaveOrder;
+import dev.toucanstall.core.node.ClientCall;
 import dev.toucanstall.core.node.Leader;
 import dev.toucanstall.core.node.Node;
 import dev.toucanstall.core.node.NodeEffect;
@@ -29,6 +30,7 @@
 import dev.toucanstall.runtime.log.LogLine;
 import dev.toucanstall.runtime.loop.ControlLoop;
 import dev.toucanstall.runtime.loop.Decision;
+import dev.toucanstall.runtime.meter.SharedMeters;
 import dev.toucanstall.wire.Decoded;
 import dev.toucanstall.wire.job.JobCodec;
 import java.io.IOException;
@@ -68,6 +70,9 @@
   private final AsyncCalls orderCalls = new AsyncCalls("orders", ORDER_CONNECTIONS);
   private final StoreClient store;
   private final StatusLog status;
+  private final ControlLoad load;
+  private final SharedMeters orders = new SharedMeters();
+  private final NodeMetrics metrics;
   private final ControlLoop<Node, NodeEvent, NodeEffect> loop;
   private final JobHandler handler;
   private final PlannerServer peers;
@@ -84,7 +89,7 @@
     this.settings = settings;
     store = new StoreClient(storeCalls, settings.store());
     status = new StatusLog(store);
-    handler = new JobHandler((ticket, call) -> post(new NodeEvent.Called(ticket, call)));
+    handler = new JobHandler(this::called);
     peers = new PlannerServer(settings.peers(), this::post);
     planner = new PlannerLink(this::post);
     NodeRunner runner =
@@ -99,24 +104,35 @@
             new OrderClient(orderCalls),
             new MachineClient(storeCalls, settings.machines(), settings.name()),
             status,
+            orders,
             this);
+    load =
+        new ControlLoad(
+            this::queued, this::cpuNanos, LogLine.gate()::dropped, line -> line.summary(LOG));
     loop =
         new ControlLoop<>(
             "control",
             new Node(settings.name(), settings.size()),
             (node, event) -> new Decision<>(node, NodeReducer.reduce(node, event, clock.now())),
-            runner,
+            effect -> {
+              long begun = System.nanoTime();
+              runner.accept(effect);
+              load.carriedOut(effect, begun, System.nanoTime());
+            },
             (event, e) -> LogLine.of("decision-failed").with("event", event).error(LOG, e),
             node -> node.plans() ? PLANNING_TICK : TICK,
             nanos -> new NodeEvent.Tick());
-    loop.observe(new ControlLoad(loop::backlog, loop::cpuNanos, line -> line.info(LOG)));
+    loop.observe(load);
     clients = HttpServers.plain("clients", settings.clients(), handler);
+    metrics = new NodeMetrics(load, LogLine.gate(), settings.size(), loop::backlog, orders);
     readiness =
         HttpServers.plain(
             "readiness",
             settings.readiness(),
+            settings.metrics(),
             new RouteHandler(
                 List.of(
+                    new Route("GET", "/metrics", call -> Answer.text(200, metrics.scrape())),
                     new Route(
                         "GET",
                         "/-/ready",
@@ -126,6 +142,19 @@
                                 : Answer.text(UNAVAILABLE, "not ready\n")))));
   }
 
+  private void called(long ticket, ClientCall call) {
+    load.calls().began(ticket, System.nanoTime());
+    post(new NodeEvent.Called(ticket, call));
+  }
+
+  private int queued() {
+    return loop.backlog();
+  }
+
+  private long cpuNanos() {
+    return loop.cpuNanos();
+  }
+
   private void post(NodeEvent event) {
     loop.post(event);
   }
@@ -287,6 +316,7 @@
     planner.close();
     peers.close();
     loop.close();
+    metrics.close();
     storeCalls.close();
     orderCalls.close();
   }
--- a/entry/src/main/java/dev/toucanstall/entry/node/NodeRunner.java
+++ b/entry/src/main/java/dev/toucanstall/entry/node/NodeRunner.java
@@ -5,6 +5,8 @@
 import dev.toucanstall.core.node.NodeEffect;
 import dev.toucanstall.core.node.NodeEvent;
 import dev.toucanstall.core.node.NodeMessage;
+import dev.toucanstall.core.plan.HoldResult;
+import dev.toucanstall.core.plan.OrderResult;
 import dev.toucanstall.core.plan.PlanEffect;
 import dev.toucanstall.core.plan.PlanEvent;
 import dev.toucanstall.core.plan.Verdict;
@@ -16,6 +18,7 @@
 import dev.toucanstall.platform.store.JobLog;
 import dev.toucanstall.platform.store.StatusLog;
 import dev.toucanstall.runtime.log.LogLine;
+import dev.toucanstall.runtime.meter.SharedMeters;
 import java.util.List;
 import java.util.Map;
 import java.util.function.Consumer;
@@ -37,6 +40,7 @@
   private final OrderClient orders;
   private final MachineClient machines;
   private final StatusLog status;
+  private final SharedMeters times;
   private final Parts parts;
 
   /** Parts that come and go. */
@@ -69,6 +73,7 @@
       OrderClient orders,
       MachineClient machines,
       StatusLog status,
+      SharedMeters times,
       Parts parts) {
     this.settings = settings;
     this.clock = clock;
@@ -80,6 +85,7 @@
     this.orders = orders;
     this.machines = machines;
     this.status = status;
+    this.times = times;
     this.parts = parts;
   }
 
@@ -154,40 +160,46 @@
         long sent = clock.steadyMs();
         orders.hold(
             hold,
-            result ->
-                tell(
-                    epoch,
-                    new PlanEvent.Held(
-                        hold.server().id(),
-                        hold.server().bornMs(),
-                        hold.acknowledged(),
-                        sent,
-                        result)));
+            timed(
+                "renew",
+                result ->
+                    tell(
+                        epoch,
+                        new PlanEvent.Held(
+                            hold.server().id(),
+                            hold.server().bornMs(),
+                            hold.acknowledged(),
+                            sent,
+                            result))));
       }
       case PlanEffect.Start start ->
           orders.start(
               start,
-              result ->
-                  tell(
-                      epoch,
-                      new PlanEvent.Started(
-                          start.server().id(),
-                          start.server().bornMs(),
-                          start.task(),
-                          start.run(),
-                          result)));
+              timed(
+                  "start",
+                  result ->
+                      tell(
+                          epoch,
+                          new PlanEvent.Started(
+                              start.server().id(),
+                              start.server().bornMs(),
+                              start.task(),
+                              start.run(),
+                              result))));
       case PlanEffect.Stop stop ->
           orders.stop(
               stop,
-              result ->
-                  tell(
-                      epoch,
-                      new PlanEvent.Stopped(
-                          stop.server().id(),
-                          stop.server().bornMs(),
-                          stop.task(),
-                          stop.run(),
-                          result)));
+              timed(
+                  "stop",
+                  result ->
+                      tell(
+                          epoch,
+                          new PlanEvent.Stopped(
+                              stop.server().id(),
+                              stop.server().bornMs(),
+                              stop.task(),
+                              stop.run(),
+                              result))));
       case PlanEffect.Pace pace -> orders.pace(pace, result -> {});
       case PlanEffect.ListMachines list -> machines.list(reader(epoch));
       case PlanEffect.Maintain maintain ->
@@ -200,7 +212,10 @@
       case PlanEffect.Move move ->
           machines.move(
               move,
-              result -> tell(epoch, new PlanEvent.Moved(move.machine(), move.service(), result)));
+              timed(
+                  "move",
+                  result ->
+                      tell(epoch, new PlanEvent.Moved(move.machine(), move.service(), result))));
       case PlanEffect.TellWave tellWave -> status.tell(tellWave);
       case PlanEffect.Answer answer -> throw new IllegalArgumentException("answer in a plan");
       case PlanEffect.Resign resign -> throw new IllegalArgumentException("resign in a plan");
@@ -229,7 +244,28 @@
         append.epoch(),
         append.sequence(),
         append.records(),
-        verdict -> tell(append.epoch(), new PlanEvent.Appended(append.sequence(), sent, verdict)));
+        timed(
+            "append",
+            verdict ->
+                tell(append.epoch(), new PlanEvent.Appended(append.sequence(), sent, verdict))));
+  }
+
+  /** Measures from now until it is told what became of an order. */
+  private <R> Consumer<R> timed(String order, Consumer<R> done) {
+    long begun = System.nanoTime();
+    return result -> {
+      times.record(order + " " + outcome(result), System.nanoTime() - begun);
+      done.accept(result);
+    };
+  }
+
+  private static String outcome(Object result) {
+    return switch (result) {
+      case OrderResult.Rejected rejected -> rejected.reason().name();
+      case HoldResult.Failed failed -> outcome(failed.why());
+      case Enum<?> verdict -> verdict.name();
+      default -> result.getClass().getSimpleName();
+    };
   }
 
   private void tell(long epoch, PlanEvent event) {
--- a/entry/src/test/java/dev/toucanstall/entry/node/ControlLoadTest.java
+++ b/entry/src/test/java/dev/toucanstall/entry/node/ControlLoadTest.java
@@ -5,6 +5,7 @@
 import dev.toucanstall.core.job.Catalog;
 import dev.toucanstall.core.model.InstanceSize;
 import dev.toucanstall.core.node.Node;
+import dev.toucanstall.core.node.NodeEffect;
 import dev.toucanstall.core.node.NodeEvent;
 import dev.toucanstall.core.node.NodeReducer;
 import dev.toucanstall.core.plan.Now;
@@ -20,8 +21,9 @@
 
   private final Node node = new Node("n1", new InstanceSize(0.36, 330, 7));
   private final List<Map<String, String>> lines = new ArrayList<>();
+  private Map<String, Long> dropped = Map.of();
   private final ControlLoad load =
-      new ControlLoad(() -> 17, () -> 0, (LogLine line) -> lines.add(line.fields()));
+      new ControlLoad(() -> 17, () -> 0, () -> dropped, (LogLine line) -> lines.add(line.fields()));
   private long steadyMs = 1_000_000;
 
   /** Reduces an event and reports it with times in microseconds. */
@@ -29,6 +31,8 @@
     NodeReducer.reduce(node, event, new Now(steadyMs, steadyMs));
     long begun = TimeUnit.MILLISECONDS.toNanos(steadyMs);
     long decided = begun + TimeUnit.MICROSECONDS.toNanos(decisionMicros);
+    load.carriedOut(
+        new NodeEffect.SetReady(true), 5, 5 + TimeUnit.MICROSECONDS.toNanos(effectMicros));
     load.handled(
         node,
         event,
@@ -65,7 +69,10 @@
     assertThat(line).containsEntry("decided-ms", "1");
     assertThat(line).containsEntry("decision-longest-us", "700");
     assertThat(line).containsEntry("decision-longest", "Tick");
-    assertThat(line).containsEntry("effects-longest-us", "40");
+    assertThat(line).containsEntry("decisions-most-ms", "Tick 1, CatalogRead 0, Elected 0");
+    assertThat(line).containsEntry("effect-longest-us", "40");
+    assertThat(line).containsEntry("effect-longest", "SetReady");
+    assertThat(line).containsEntry("effects-most-ms", "SetReady 0");
     assertThat(line).containsEntry("passes", "2");
     assertThat(line).containsEntry("pass-mean-us", "500");
     assertThat(line).containsEntry("pass-longest-us", "700");
@@ -73,6 +80,24 @@
     assertThat(line).containsEntry("servers", "0");
   }
 
+  /** Guards against lines that are missing without a trace while an incident is examined. */
+  @Test
+  void droppedLinesAreToldOnceByEvent() {
+    beginToPlan();
+    dropped = Map.of("message-dropped", 7L, "run-failed", 2L);
+    steadyMs += 1_001;
+    handle(new NodeEvent.Tick(), 0, 0, 0);
+    assertThat(lines.getLast())
+        .containsExactly("event", "lines-dropped", "message-dropped", "7", "run-failed", "2");
+    dropped = Map.of("message-dropped", 9L, "run-failed", 2L);
+    steadyMs += 1_001;
+    handle(new NodeEvent.Tick(), 0, 0, 0);
+    assertThat(lines.getLast()).containsExactly("event", "lines-dropped", "message-dropped", "2");
+    steadyMs += 1_001;
+    handle(new NodeEvent.Tick(), 0, 0, 0);
+    assertThat(lines.getLast()).containsEntry("event", "control-load");
+  }
+
   @Test
   void eachLineTellsOnlyItsOwnSecond() {
     beginToPlan();
--- a/runtime/src/main/java/dev/toucanstall/runtime/http/HttpServers.java
+++ b/runtime/src/main/java/dev/toucanstall/runtime/http/HttpServers.java
@@ -40,14 +40,33 @@
    */
   public static Server plain(String name, Address address, Handler handler) {
     Server server = new Server(threads(name));
+    server.addConnector(connector(server, address, 1));
+    server.setHandler(handler);
+    return server;
+  }
+
+  /**
+   * Makes a server of plain HTTP/1.1 at two addresses; it is not started.
+   *
+   * @param name the prefix of its threads' names
+   * @param address where it listens
+   * @param second where it listens too, with no thread of its own for new connections
+   * @param handler answers the requests
+   * @return the server
+   */
+  public static Server plain(String name, Address address, Address second, Handler handler) {
+    Server server = plain(name, address, handler);
+    server.addConnector(connector(server, second, 0));
+    return server;
+  }
+
+  private static ServerConnector connector(Server server, Address address, int acceptors) {
     HttpConfiguration configuration = new HttpConfiguration();
     configuration.setSendServerVersion(false);
     ServerConnector connector =
-        new ServerConnector(server, 1, 1, new HttpConnectionFactory(configuration));
+        new ServerConnector(server, acceptors, 1, new HttpConnectionFactory(configuration));
     connector.setHost(address.host());
     connector.setPort(address.port());
-    server.addConnector(connector);
-    server.setHandler(handler);
-    return server;
+    return connector;
   }
 }
--- a/runtime/src/main/java/dev/toucanstall/runtime/log/LogLine.java
+++ b/runtime/src/main/java/dev/toucanstall/runtime/log/LogLine.java
@@ -1,12 +1,17 @@
 package dev.toucanstall.runtime.log;
 
 import java.util.Map;
+import java.util.function.BooleanSupplier;
 import org.apache.logging.log4j.Level;
+import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
+import org.apache.logging.log4j.core.LoggerContext;
+import org.apache.logging.log4j.core.appender.AsyncAppender;
 import org.apache.logging.log4j.message.StringMapMessage;
 
 /**
- * One structured log line with a stable event name. Not thread-safe; made and written in one go.
+ * One structured log line with a stable event name. It is written on another thread; what does not
+ * fit is dropped and counted. Not thread-safe; made and written in one go.
  *
  * <pre>{@code
  * LogLine.of("peer-linked").with("peer", "a1").info(LOG);
@@ -14,12 +19,36 @@
  */
 public final class LogLine {
 
+  /** Name of the appender that writes on a thread of its own. */
+  private static final String QUEUE = "queue";
+
+  private static final LineGate GATE = new LineGate(System::nanoTime, room());
+
   private final StringMapMessage message = new StringMapMessage();
+  private final String event;
 
   private LogLine(String event) {
+    this.event = event;
     message.with("event", event);
   }
 
+  /** Looks at the queue of the asynchronous appender, if the configuration has one. */
+  private static BooleanSupplier room() {
+    return LogManager.getContext(false) instanceof LoggerContext context
+            && context.getConfiguration().getAppender(QUEUE) instanceof AsyncAppender queue
+        ? () -> queue.getQueueRemainingCapacity() > 0
+        : () -> true;
+  }
+
+  /**
+   * Returns what bounds the lines of this process.
+   *
+   * @return the gate
+   */
+  public static LineGate gate() {
+    return GATE;
+  }
+
   /**
    * Begins a line.
    *
@@ -52,12 +81,25 @@
   }
 
   /**
-   * Writes the line as information.
+   * Writes the line as information, unless too many are written.
    *
    * @param logger the logger
    */
   public void info(Logger logger) {
-    logger.log(Level.INFO, message);
+    if (GATE.admitsInformation(event)) {
+      logger.log(Level.INFO, message);
+    }
+  }
+
+  /**
+   * Writes the line as information also if too many are written, as for a summary of a second.
+   *
+   * @param logger the logger
+   */
+  public void summary(Logger logger) {
+    if (GATE.admitsWarning(event)) {
+      logger.log(Level.INFO, message);
+    }
   }
 
   /**
@@ -66,7 +108,9 @@
    * @param logger the logger
    */
   public void warn(Logger logger) {
-    logger.log(Level.WARN, message);
+    if (GATE.admitsWarning(event)) {
+      logger.log(Level.WARN, message);
+    }
   }
 
   /**
@@ -76,6 +120,8 @@
    * @param cause the cause
    */
   public void error(Logger logger, Throwable cause) {
-    logger.log(Level.ERROR, message, cause);
+    if (GATE.admitsWarning(event)) {
+      logger.log(Level.ERROR, message, cause);
+    }
   }
 }
--- /dev/null
+++ b/runtime/src/main/java/dev/toucanstall/runtime/meter/KindMeters.java
@@ -0,0 +1,88 @@
+package dev.toucanstall.runtime.meter;
+
+import java.util.Comparator;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.TimeUnit;
+import java.util.stream.Collectors;
+
+/**
+ * Counts durations by kind. One thread records; any thread reads. Kinds are names from the code, so
+ * that there are only so many.
+ */
+public final class KindMeters {
+
+  /** How many kinds a summary names. */
+  private static final int NAMED = 4;
+
+  private final Map<String, TimeMeter> meters = new ConcurrentHashMap<>();
+
+  /**
+   * What was recorded since the last look. Immutable.
+   *
+   * @param totalNanos the sum of all kinds in nanoseconds
+   * @param longestNanos the longest in nanoseconds
+   * @param longestKind its kind, empty if nothing was recorded
+   * @param most the kinds that took most with their milliseconds, as in "Hold 12, Tick 3"
+   */
+  public record Recent(long totalNanos, long longestNanos, String longestKind, String most) {}
+
+  /**
+   * Records a duration; for the one thread that writes.
+   *
+   * @param kind the kind
+   * @param nanos its length in nanoseconds
+   */
+  public void record(String kind, long nanos) {
+    TimeMeter meter = meters.get(kind);
+    if (meter == null) {
+      meter = new TimeMeter();
+      meters.put(kind, meter);
+    }
+    meter.record(nanos);
+  }
+
+  /**
+   * Returns what was recorded since the last call, for the one thread that writes.
+   *
+   * @return the sum, the longest and the kinds that took most
+   */
+  public Recent takeRecent() {
+    Map<String, TimeMeter.Recent> recent = new TreeMap<>();
+    meters.forEach((kind, meter) -> recent.put(kind, meter.takeRecent()));
+    String longest = "";
+    long longestNanos = 0;
+    long totalNanos = 0;
+    for (Map.Entry<String, TimeMeter.Recent> entry : recent.entrySet()) {
+      totalNanos += entry.getValue().totalNanos();
+      if (entry.getValue().longestNanos() > longestNanos) {
+        longestNanos = entry.getValue().longestNanos();
+        longest = entry.getKey();
+      }
+    }
+    return new Recent(totalNanos, longestNanos, longest, most(recent));
+  }
+
+  private static String most(Map<String, TimeMeter.Recent> recent) {
+    return recent.entrySet().stream()
+        .filter(entry -> entry.getValue().count() > 0)
+        .sorted(Comparator.comparingLong(entry -> -entry.getValue().totalNanos()))
+        .limit(NAMED)
+        .map(KindMeters::text)
+        .collect(Collectors.joining(", "));
+  }
+
+  private static String text(Map.Entry<String, TimeMeter.Recent> entry) {
+    return entry.getKey() + " " + TimeUnit.NANOSECONDS.toMillis(entry.getValue().totalNanos());
+  }
+
+  /**
+   * Returns the meters by kind; they go on counting.
+   *
+   * @return the meters
+   */
+  public Map<String, TimeMeter> byKind() {
+    return new TreeMap<>(meters);
+  }
+}
