Measure the planner's reducer at the size of the grown deployments

Callers saw: on the grown deployments calls expire in the planner's queue, and with processor time counted half as much is served. No figure said what an event or a pass costs.

--- a/core/src/main/java/dev/toucanstall/core/plan/Plan.java
+++ b/core/src/main/java/dev/toucanstall/core/plan/Plan.java
@@ -57,6 +57,9 @@
 
   private List<PlanEffect> out = new ArrayList<>();
 
+  /** Told of the parts of each decision. */
+  PassProbe probe = PassProbe.NONE;
+
   /**
    * Creates a plan from what is stored.
    *
@@ -92,6 +95,15 @@
     return ledger.confirmedMs();
   }
 
+  /**
+   * Has the parts of each decision measured.
+   *
+   * @param to told of each part from now on
+   */
+  public void measure(PassProbe to) {
+    probe = to;
+  }
+
   /** Tells whether the store has confirmed the fencing token lately enough to give orders. */
   boolean mayOrder(Now now) {
     return now.steadyMs() - ledger.confirmedMs() <= PlanReducer.START_PERMISSION_MS;
--- a/core/src/main/java/dev/toucanstall/core/plan/PlanReducer.java
+++ b/core/src/main/java/dev/toucanstall/core/plan/PlanReducer.java
@@ -46,19 +46,26 @@
       case PlanEvent.Maintained maintained -> Maintenance.maintained(plan, maintained, now);
       case PlanEvent.Moved moved -> PoolMoves.moved(plan, moved, now);
     }
+    plan.probe.done(PassProbe.Part.EVENT);
     if (plan.passDue(now)) {
       pass(plan, now);
     }
     plan.ledger.flush(now, plan.emitter());
+    plan.probe.done(PassProbe.Part.STORING);
     return plan.takeEffects();
   }
 
   /** Looks at all queues and backend servers that have changed. */
   private static void pass(Plan plan, Now now) {
     Maintenance.advance(plan, now);
+    plan.probe.done(PassProbe.Part.MAINTENANCE);
     Evacuation.advance(plan, now);
+    plan.probe.done(PassProbe.Part.EVACUATION);
     Placement.place(plan, now);
+    plan.probe.done(PassProbe.Part.PLACEMENT);
     PoolMoves.advance(plan, now);
+    plan.probe.done(PassProbe.Part.MOVES);
     ServerRules.renewLeases(plan, now);
+    plan.probe.done(PassProbe.Part.LEASES);
   }
 }
