Let a pass look only at backend servers that an event or the time concerns

Callers saw: calls expired in the planner's queue on the grown deployments.

Cause: each pass, about a hundred a second, walked over all backend servers for leases, for evacuation and for each service's queue; each waiting task scored all of a service's backend servers, with a walk over the tasks on each; each open job was ranked, and its tasks counted again, whether or not any waited.

Change: Servers keeps backend servers by id, by service, by free room, those to be emptied and those that need a look; StepCounts keeps how many tasks of a step wait, are bound or done, and where; Plan keeps the jobs whose tasks wait for room only. A task tries the fullest first and stops once none that follows can be better. The order of jobs and the choice for a task are as before; ties between backend servers are broken by age, as before, and jobs by their number.

--- a/core/src/main/java/dev/toucanstall/core/plan/CallRules.java
+++ b/core/src/main/java/dev/toucanstall/core/plan/CallRules.java
@@ -148,7 +148,7 @@
     for (Job job : List.copyOf(plan.ledger.unsent())) {
       plan.ledger.withdraw(job);
       job.tasks().forEach(Task::unbind);
-      job.tasks().forEach(t -> t.phase = TaskPhase.DROPPED);
+      job.tasks().forEach(t -> t.turn(TaskPhase.DROPPED));
       plan.close(job);
       plan.jobs.remove(job.id);
       job.withdrawn = true;
--- a/core/src/main/java/dev/toucanstall/core/plan/Demand.java
+++ b/core/src/main/java/dev/toucanstall/core/plan/Demand.java
@@ -2,7 +2,6 @@
 
 import dev.toucanstall.core.job.Resources;
 import dev.toucanstall.core.job.StepSpec;
-import dev.toucanstall.core.job.TaskPhase;
 import java.util.List;
 import java.util.Set;
 
@@ -65,14 +64,14 @@
 
     private void add(Job job, int occurrence, int number, List<Task> tasks) {
       StepSpec step = tasks.getFirst().step;
-      long bound = tasks.stream().filter(t -> t.phase.bound()).count();
+      long bound = job.counts(occurrence, number).bound();
       long waiting = waiting(job, occurrence, number, tasks);
       if (step.perServer() > 0) {
         spread = Math.max(spread, (int) ceilDiv(bound + waiting, step.perServer()));
       }
       if (step.lasting()) {
         lasting = lasting.plus(Load.of(step.reserved()).times(bound + waiting));
-      } else {
+      } else if (waiting > 0) {
         double work = (double) waiting * plan.durations.expectMs(job.queue, step);
         backlog = backlog.plus(Load.of(step.reserved()).times(work / (double) drainMs(job)));
       }
@@ -91,7 +90,7 @@
       if (!allowed || job.beyondShare || !job.open(occurrence, number, now.wallMs())) {
         return 0;
       }
-      return tasks.stream().filter(t -> t.phase == TaskPhase.WAITING).count();
+      return job.counts(occurrence, number).waiting();
     }
 
     private static long ceilDiv(long amount, long by) {
--- a/core/src/main/java/dev/toucanstall/core/plan/Evacuation.java
+++ b/core/src/main/java/dev/toucanstall/core/plan/Evacuation.java
@@ -1,5 +1,6 @@
 package dev.toucanstall.core.plan;
 
+import dev.toucanstall.core.job.Resources;
 import dev.toucanstall.core.job.TaskPhase;
 import java.util.List;
 
@@ -15,8 +16,8 @@
   private Evacuation() {}
 
   static void advance(Plan plan, Now now) {
-    for (Server server : List.copyOf(plan.servers.values())) {
-      if ((server.evacuating || server.entry.draining()) && !server.tasks.isEmpty()) {
+    for (Server server : plan.servers.leaving()) {
+      if (!server.tasks.isEmpty()) {
         advance(plan, server, now);
       }
     }
@@ -59,9 +60,12 @@
   }
 
   private static boolean roomElsewhere(Plan plan, Server server, Task task) {
-    return plan.servers.values().stream()
-        .filter(s -> s != server && s.entry.service().equals(task.job.service))
+    Resources need = task.step.reserved();
+    return plan.servers.byRoom(task.job.service).descendingMap().values().stream()
+        .takeWhile(s -> need.cpu() <= s.free().cpu())
+        .peek(s -> plan.servers.looked())
+        .filter(s -> s != server)
         .filter(s -> s.known && !s.unlisted && !s.entry.draining() && !s.evacuating)
-        .anyMatch(s -> task.step.reserved().fitsInto(s.free()));
+        .anyMatch(s -> need.fitsInto(s.free()));
   }
 }
--- a/core/src/main/java/dev/toucanstall/core/plan/HoldRules.java
+++ b/core/src/main/java/dev/toucanstall/core/plan/HoldRules.java
@@ -41,6 +41,7 @@
       return;
     }
     server.holding = false;
+    server.look();
     switch (held.result()) {
       case HoldResult.Listed listed when listed.bornMs() > held.bornMs() ->
           ServerRules.reborn(plan, server, server.entry.withLife(listed.bornMs()), now);
@@ -128,7 +129,7 @@
       task.saved = running.saved();
     }
     if (task.phase == TaskPhase.ORDERED) {
-      task.phase = TaskPhase.RUNNING;
+      task.turn(TaskPhase.RUNNING);
       task.unanswered = false;
       task.settledMs = now.steadyMs();
     }
@@ -193,10 +194,10 @@
     together.forEach(
         t -> {
           t.unbind();
-          t.phase = task.job.phase.ended() ? TaskPhase.DROPPED : TaskPhase.DONE;
+          t.turn(task.job.phase.ended() ? TaskPhase.DROPPED : TaskPhase.DONE);
         });
     if (task.step.lasting() && !task.job.phase.ended()) {
-      task.phase = TaskPhase.WAITING;
+      task.turn(TaskPhase.WAITING);
     }
     plan.ledger.changed(task.job);
     JobRules.settle(plan, task.job, now);
--- a/core/src/main/java/dev/toucanstall/core/plan/Job.java
+++ b/core/src/main/java/dev/toucanstall/core/plan/Job.java
@@ -21,6 +21,7 @@
   final String account;
   final long submittedMs;
   final JobSpec spec;
+  final boolean lasting;
   String service;
   JobPhase phase = JobPhase.PENDING;
   long endedMs;
@@ -38,6 +39,20 @@
   /** Objective as Unix milliseconds; work past it is worth little. */
   long objectiveMs;
 
+  /** Rises with each job that becomes known. */
+  long number;
+
+  /** Whether it is among the open jobs of its service. */
+  boolean listed;
+
+  /** Whether some task could start if there were room, but for the time that it is due. */
+  boolean ready;
+
+  private int tasksLeft;
+
+  /** By occurrence and step. */
+  private final List<List<StepCounts>> counts;
+
   /** Occurrences by number, steps by number, tasks by index. */
   final List<List<List<Task>>> occurrences;
 
@@ -49,8 +64,17 @@
     this.account = submitted.account();
     this.submittedMs = submitted.submittedMs();
     this.spec = submitted.spec();
+    this.lasting = spec.lasting();
+    this.counts =
+        IntStream.range(0, Math.max(1, spec.occurrences())).mapToObj(k -> stepCounts()).toList();
     this.occurrences =
         IntStream.range(0, Math.max(1, spec.occurrences())).mapToObj(this::occurrence).toList();
+    this.tasksLeft = spec.steps().stream().mapToInt(StepSpec::count).sum() * occurrences.size();
+    this.ready = findReady();
+  }
+
+  private List<StepCounts> stepCounts() {
+    return spec.steps().stream().map(step -> new StepCounts(step.count())).toList();
   }
 
   private List<List<Task>> occurrence(int number) {
@@ -59,7 +83,7 @@
       StepSpec step = spec.steps().get(s);
       List<Task> tasks = new ArrayList<>(step.count());
       for (int i = 0; i < step.count(); i++) {
-        tasks.add(new Task(this, new TaskKey(id, number, s, i), step));
+        tasks.add(new Task(this, new TaskKey(id, number, s, i), step, counts.get(number).get(s)));
       }
       steps.add(tasks);
     }
@@ -88,15 +112,53 @@
     }
   }
 
-  static boolean done(List<Task> step) {
-    return step.stream().allMatch(t -> t.phase == TaskPhase.DONE);
+  /** Returns how far the tasks of a step are. */
+  StepCounts counts(int occurrence, int step) {
+    return counts.get(occurrence).get(step);
+  }
+
+  /** Tells whether all tasks are done. */
+  boolean done() {
+    return tasksLeft == 0;
+  }
+
+  /** A task has gone over to another phase. */
+  void turned(TaskPhase from, TaskPhase to) {
+    tasksLeft += (from == TaskPhase.DONE ? 1 : 0) - (to == TaskPhase.DONE ? 1 : 0);
+    boolean concerns =
+        from == TaskPhase.WAITING
+            || to == TaskPhase.WAITING
+            || from == TaskPhase.DONE
+            || to == TaskPhase.DONE;
+    if (concerns) {
+      ready = findReady();
+      plan.noteReady(this);
+    }
+  }
+
+  private boolean findReady() {
+    for (List<StepCounts> steps : counts) {
+      for (int s = 0; s < steps.size(); s++) {
+        if (steps.get(s).waiting() > 0 && follows(steps, s)) {
+          return true;
+        }
+      }
+    }
+    return false;
+  }
+
+  private boolean follows(List<StepCounts> steps, int step) {
+    for (int before : spec.steps().get(step).after()) {
+      if (!steps.get(before).done()) {
+        return false;
+      }
+    }
+    return true;
   }
 
   /** Tells whether a step's turn has come. */
   boolean open(int occurrence, int step, long wallMs) {
-    List<List<Task>> steps = occurrences.get(occurrence);
-    return wallMs >= spec.dueMs(occurrence)
-        && spec.steps().get(step).after().stream().allMatch(n -> done(steps.get(n)));
+    return wallMs >= spec.dueMs(occurrence) && follows(counts.get(occurrence), step);
   }
 
   JobRecord.Submitted submitted() {
--- a/core/src/main/java/dev/toucanstall/core/plan/JobRules.java
+++ b/core/src/main/java/dev/toucanstall/core/plan/JobRules.java
@@ -25,7 +25,7 @@
   private JobRules() {}
 
   static void add(Plan plan, Job job) {
-    plan.jobs.put(job.id, job);
+    plan.add(job);
     job.objectiveMs = objective(plan, job);
     plan.open(job);
   }
@@ -46,7 +46,7 @@
 
   /** Returns the same without the work that is done, for the first occurrence. */
   static long chainLeftMs(Plan plan, Job job, Now now) {
-    return longest(job, s -> leftMs(plan, job, job.occurrences.getFirst().get(s), now));
+    return longest(job, s -> leftMs(plan, job, s, now));
   }
 
   /** Returns the work of a job's short tasks, in milliseconds of what they need. */
@@ -62,13 +62,19 @@
     return Load.of(step.reserved()).times(step.count() * length);
   }
 
-  private static long leftMs(Plan plan, Job job, List<Task> step, Now now) {
-    long expected = plan.durations.expectMs(job.queue, step.getFirst().step);
+  private static long leftMs(Plan plan, Job job, int step, Now now) {
+    StepCounts counts = job.counts(0, step);
+    if (counts.done()) {
+      return 0;
+    }
+    long expected = plan.durations.expectMs(job.queue, job.spec.steps().get(step));
+    if (counts.lacks()) {
+      return expected;
+    }
     long left = 0;
-    for (Task task : step) {
-      if (task.phase != TaskPhase.DONE) {
-        long ran = task.phase.bound() ? now.steadyMs() - task.orderedMs : 0;
-        left = Math.max(left, expected - ran);
+    for (Task task : job.occurrences.getFirst().get(step)) {
+      if (task.phase.bound()) {
+        left = Math.max(left, expected - (now.steadyMs() - task.orderedMs));
       }
     }
     return left;
@@ -79,7 +85,10 @@
     long[] ends = new long[steps.size()];
     long longest = 0;
     for (int s = 0; s < ends.length; s++) {
-      long start = steps.get(s).after().stream().mapToLong(n -> ends[n]).max().orElse(0);
+      long start = 0;
+      for (int before : steps.get(s).after()) {
+        start = Math.max(start, ends[before]);
+      }
       ends[s] = start + Math.max(0, length.applyAsLong(s));
       longest = Math.max(longest, ends[s]);
     }
@@ -88,7 +97,7 @@
 
   /** Looks at a job after one of its tasks has ended. */
   static void settle(Plan plan, Job job, Now now) {
-    if (!job.phase.ended() && job.tasks().allMatch(t -> t.phase == TaskPhase.DONE)) {
+    if (!job.phase.ended() && job.done()) {
       end(plan, job, JobPhase.COMPLETED, now);
     }
     settleIfEnded(plan, job);
@@ -107,7 +116,7 @@
     job.phase = phase;
     job.endedMs = now.wallMs();
     plan.ledger.changed(job);
-    job.tasks().filter(t -> t.phase == TaskPhase.WAITING).forEach(t -> t.phase = TaskPhase.DROPPED);
+    job.tasks().filter(t -> t.phase == TaskPhase.WAITING).forEach(t -> t.turn(TaskPhase.DROPPED));
     List<Task> bound = job.tasks().filter(t -> t.phase.bound()).toList();
     bound.forEach(t -> OrderRules.stopOnceStored(plan, t));
     settleIfEnded(plan, job);
--- a/core/src/main/java/dev/toucanstall/core/plan/Maintenance.java
+++ b/core/src/main/java/dev/toucanstall/core/plan/Maintenance.java
@@ -5,7 +5,6 @@
 import dev.toucanstall.core.job.WaveOrder;
 import java.util.Comparator;
 import java.util.List;
-import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 
@@ -110,7 +109,7 @@
     String id = wave.emptying.remove(machine);
     Server server = id == null ? null : plan.servers.get(id);
     if (server != null) {
-      server.evacuating = false;
+      server.evacuate(false);
       plan.wake(server);
     }
   }
@@ -188,7 +187,7 @@
     if (server == null) {
       return entry == null || !entry.up() || entry.server().isEmpty();
     }
-    server.evacuating = true;
+    server.evacuate(true);
     return server.tasks.isEmpty() && server.known;
   }
 
@@ -224,10 +223,7 @@
   }
 
   private static boolean poolAllows(Plan plan, MachineEntry machine, boolean late) {
-    List<Server> pool =
-        plan.servers.values().stream()
-            .filter(s -> s.entry.service().equals(machine.service()))
-            .toList();
+    List<Server> pool = List.copyOf(plan.servers.ofService(machine.service()));
     long working = pool.stream().filter(Maintenance::works).count();
     boolean busy =
         plan.openByService.getOrDefault(machine.service(), Set.of()).stream()
@@ -248,7 +244,7 @@
     wave.emptying.put(machine.name(), machine.server());
     Server server = plan.servers.get(machine.server());
     if (server != null) {
-      server.evacuating = true;
+      server.evacuate(true);
       server.evacuatingSinceMs = now.steadyMs();
     }
     plan.note(
@@ -269,10 +265,9 @@
   }
 
   private static boolean awaits(Plan plan, Wave wave, String server) {
-    Map<String, MachineEntry> listed = plan.machines.listed;
-    Set<String> begun = plan.machines.begun(wave.order.number());
-    return wave.order.machines().stream()
-        .filter(m -> !begun.contains(m))
-        .anyMatch(m -> listed.containsKey(m) && listed.get(m).server().equals(server));
+    MachineEntry machine = plan.machines.byServer.get(server);
+    return machine != null
+        && wave.machines.contains(machine.name())
+        && !plan.machines.begun(wave.order.number()).contains(machine.name());
   }
 }
--- a/core/src/main/java/dev/toucanstall/core/plan/OrderRules.java
+++ b/core/src/main/java/dev/toucanstall/core/plan/OrderRules.java
@@ -60,7 +60,7 @@
       plan.release(task);
       return;
     }
-    task.phase = TaskPhase.STOPPING;
+    task.turn(TaskPhase.STOPPING);
     task.settledMs = 0;
     plan.ledger.changed(task.job);
     long run = task.run;
@@ -116,7 +116,7 @@
     task.unanswered = false;
     task.settledMs = task.phase == TaskPhase.STOPPING ? task.settledMs : now.steadyMs();
     if (task.phase == TaskPhase.ORDERED) {
-      task.phase = TaskPhase.RUNNING;
+      task.turn(TaskPhase.RUNNING);
       task.orderedMs = now.steadyMs();
       task.job.begun();
     }
--- a/core/src/main/java/dev/toucanstall/core/plan/Placement.java
+++ b/core/src/main/java/dev/toucanstall/core/plan/Placement.java
@@ -8,6 +8,7 @@
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.List;
+import java.util.NavigableMap;
 import java.util.Optional;
 import java.util.Set;
 
@@ -29,22 +30,17 @@
   }
 
   private static void place(Plan plan, String service, Now now) {
-    Set<Job> open = plan.openByService.get(service);
-    if (open == null || open.isEmpty()) {
-      return;
-    }
-    List<Server> servers =
-        plan.servers.values().stream()
-            .filter(s -> s.entry.service().equals(service) && s.takesTasks(now.steadyMs()))
-            .toList();
-    if (servers.isEmpty()) {
+    Set<Job> ready = plan.readyByService.get(service);
+    NavigableMap<Servers.Room, Server> servers = plan.servers.byRoom(service);
+    if (ready == null || ready.isEmpty() || servers.isEmpty()) {
       return;
     }
     Round round = new Round(plan, servers, now);
-    open.stream()
-        .filter(j -> !j.phase.ended())
+    ready.stream()
+        .filter(j -> !j.phase.ended() && round.mayPlace(j))
         .map(j -> Ranked.of(plan, j, now))
         .sorted(Ranked.ORDER)
+        .toList()
         .forEach(r -> round.place(r.job()));
   }
 
@@ -61,7 +57,8 @@
             .thenComparing(r -> !r.lasting)
             .thenComparing(Ranked::beyondShare)
             .thenComparing(Ranked::late)
-            .thenComparingLong(Ranked::objectiveMs);
+            .thenComparingLong(Ranked::objectiveMs)
+            .thenComparingLong(r -> r.job.number);
 
     static Ranked of(Plan plan, Job job, Now now) {
       Queue queue = plan.queue(job);
@@ -71,24 +68,50 @@
               ? JobRules.chainMs(plan, job)
               : JobRules.chainLeftMs(plan, job, now);
       boolean late = now.wallMs() + ahead > job.objectiveMs;
-      return new Ranked(job, priority, job.spec.lasting(), job.beyondShare, late, job.objectiveMs);
+      return new Ranked(job, priority, job.lasting, job.beyondShare, late, job.objectiveMs);
     }
   }
 
   /** One pass over the queue of a service. */
   private static final class Round {
 
+    /** What it is worth that a backend server is near the data or the rest of the step. */
+    static final long NEAR = 1_000_000L;
+
     final Plan plan;
-    final List<Server> servers;
     final Now now;
 
+    /** The backend servers of the service, the fullest first. */
+    final NavigableMap<Servers.Room, Server> servers;
+
+    /** The most that is free anywhere as the pass begins, in thousandths of a core. */
+    final long mostFree;
+
     /** Needs for which no backend server has room; larger ones are not looked at again. */
     final List<Resources> tooLarge = new ArrayList<>();
 
-    Round(Plan plan, List<Server> servers, Now now) {
+    Round(Plan plan, NavigableMap<Servers.Room, Server> servers, Now now) {
       this.plan = plan;
       this.servers = servers;
       this.now = now;
+      this.mostFree = servers.lastKey().cpu();
+    }
+
+    /** Tells at little cost whether some task of a job may fit; most do not under a backlog. */
+    boolean mayPlace(Job job) {
+      List<StepSpec> steps = job.spec.steps();
+      for (int k = 0; k < job.occurrences.size(); k++) {
+        for (int s = 0; s < steps.size(); s++) {
+          StepSpec step = steps.get(s);
+          if (job.counts(k, s).waiting() > 0
+              && step.reserved().cpu() <= mostFree
+              && withinQuota(job, step.need())
+              && job.open(k, s, now.wallMs())) {
+            return true;
+          }
+        }
+      }
+      return false;
     }
 
     void place(Job job) {
@@ -98,9 +121,8 @@
       for (int k = 0; k < job.occurrences.size(); k++) {
         List<List<Task>> steps = job.occurrences.get(k);
         for (int s = 0; s < steps.size(); s++) {
-          List<Task> waiting = waiting(steps.get(s));
-          if (!waiting.isEmpty() && job.open(k, s, now.wallMs())) {
-            place(job, steps.get(s), waiting);
+          if (job.counts(k, s).waiting() > 0 && job.open(k, s, now.wallMs())) {
+            place(job, steps.get(s), waiting(steps.get(s)));
           }
         }
       }
@@ -124,10 +146,9 @@
     }
 
     private static List<Task> waiting(List<Task> step) {
-      List<Task> waiting = List.of();
+      List<Task> waiting = new ArrayList<>(step.size());
       for (Task task : step) {
         if (task.phase == TaskPhase.WAITING) {
-          waiting = waiting.isEmpty() ? new ArrayList<>(step.size()) : waiting;
           waiting.add(task);
         }
       }
@@ -151,7 +172,7 @@
             withinQuota(task.job, task.step.need()) ? choose(step, task) : Optional.empty();
         if (server.isEmpty()) {
           ordered.forEach(Task::unbind);
-          ordered.forEach(t -> t.phase = TaskPhase.WAITING);
+          ordered.forEach(t -> t.turn(TaskPhase.WAITING));
           return;
         }
         bind(task, server.get());
@@ -167,7 +188,7 @@
 
     private void bind(Task task, Server server) {
       task.run++;
-      task.phase = TaskPhase.ORDERED;
+      task.turn(TaskPhase.ORDERED);
       task.settledMs = 0;
       task.orderedMs = now.steadyMs();
       task.bind(server);
@@ -185,12 +206,17 @@
       boolean room = false;
       Server best = null;
       long most = Long.MIN_VALUE;
-      for (Server server : servers) {
-        if (!need.fitsInto(server.free())) {
+      long bonus = mostBonus(task.step);
+      for (Server server : Servers.withRoom(servers, need.cpu())) {
+        if (most >= bonus - server.free().cpu()) {
+          break;
+        }
+        plan.servers.looked();
+        if (!server.takesTasks(now.steadyMs()) || !need.fitsInto(server.free())) {
           continue;
         }
         room = true;
-        long score = allowed(step, task, server) ? score(step, task, server) : Long.MIN_VALUE;
+        long score = allowed(task, server) ? score(step, task, server) : Long.MIN_VALUE;
         if (score > most) {
           best = server;
           most = score;
@@ -202,15 +228,17 @@
       return Optional.ofNullable(best);
     }
 
-    private boolean allowed(List<Task> step, Task task, Server server) {
+    /** What a backend server may be worth beside the little room that it has. */
+    private static long mostBonus(StepSpec step) {
+      return (step.rack().isEmpty() ? 0 : NEAR) + (step.sameRack() ? NEAR : 0);
+    }
+
+    private boolean allowed(Task task, Server server) {
       StepSpec spec = task.step;
       if (!spec.label().isEmpty() && !server.entry.labels().contains(spec.label())) {
         return false;
       }
-      if (spec.perServer() == 0) {
-        return true;
-      }
-      return step.stream().filter(t -> t.server == server).count() < spec.perServer();
+      return spec.perServer() == 0 || task.counts.on(server) < spec.perServer();
     }
 
     /**
@@ -222,35 +250,32 @@
       if (task.avoid.contains(server.entry.id())) {
         score -= 1_000_000_000L;
       }
-      if (server.tasks.stream().anyMatch(t -> disturbs(task, t))) {
+      if (disturbed(task.step, server)) {
         score -= 100_000_000L;
       }
-      if (task.step.lasting() && holdsHalf(step, server)) {
+      if (task.step.lasting() && holdsHalf(step.size(), task.counts.on(server))) {
         score -= 20_000_000L;
       }
       if (task.step.lasting() && Maintenance.awaitsMaintenance(plan, server)) {
         score -= 10_000_000L;
       }
       if (!task.step.rack().isEmpty() && server.entry.labels().contains(task.step.rack())) {
-        score += 1_000_000L;
+        score += NEAR;
       }
       if (task.step.sameRack() && sharesRack(step, server)) {
-        score += 1_000_000L;
+        score += NEAR;
       }
       return score;
     }
 
     /** No more than half of a lasting step goes to one backend server if another has room. */
-    private static boolean holdsHalf(List<Task> step, Server server) {
-      long there = step.stream().filter(t -> t.server == server).count();
-      return step.size() > 1 && 2 * (there + 1) > step.size() + 1;
+    private static boolean holdsHalf(int size, int there) {
+      return size > 1 && 2 * (there + 1) > size + 1;
     }
 
     /** Tasks that fill disturb lasting ones that serve users of their own. */
-    private static boolean disturbs(Task one, Task other) {
-      boolean fills = one.step.fills() != other.step.fills();
-      Task serves = one.step.fills() ? other : one;
-      return fills && serves.step.lasting();
+    private static boolean disturbed(StepSpec step, Server server) {
+      return step.fills() ? server.serving > 0 : step.lasting() && server.filling > 0;
     }
 
     private boolean sharesRack(List<Task> step, Server server) {
--- a/core/src/main/java/dev/toucanstall/core/plan/Plan.java
+++ b/core/src/main/java/dev/toucanstall/core/plan/Plan.java
@@ -33,8 +33,12 @@
   final Quotas quotas = new Quotas();
   final Shares shares = new Shares();
   final Map<String, Job> jobs = new LinkedHashMap<>();
-  final Map<String, Server> servers = new LinkedHashMap<>();
+  final Servers servers = new Servers();
   final Map<String, Set<Job>> openByService = new HashMap<>();
+
+  /** Of the open jobs those that have tasks that wait for room only. */
+  final Map<String, Set<Job>> readyByService = new HashMap<>();
+
   final Map<Integer, Wave> waves = new LinkedHashMap<>();
   final Machines machines = new Machines();
   final Durations durations = new Durations();
@@ -55,6 +59,8 @@
   /** When the backend servers were last given time to answer a new planner. */
   final long tookOverMs;
 
+  private long jobNumbers;
+
   private List<PlanEffect> out = new ArrayList<>();
 
   /** Told of the parts of each decision. */
@@ -123,6 +129,15 @@
     return openByService.values().stream().mapToInt(Set::size).sum();
   }
 
+  /**
+   * Returns how many backend servers were looked at one by one in search of something.
+   *
+   * @return the number in this term
+   */
+  public long serversLookedAt() {
+    return servers.looks();
+  }
+
   /** Tells whether it is time for a pass, and begins the time to the next. */
   boolean passDue(Now now) {
     if (now.steadyMs() < nextPassMs) {
@@ -164,8 +179,15 @@
     return known == null ? Resources.NONE : known.quota();
   }
 
+  void add(Job job) {
+    job.number = jobNumbers++;
+    jobs.put(job.id, job);
+  }
+
   void open(Job job) {
     openByService.computeIfAbsent(job.service, s -> new LinkedHashSet<>()).add(job);
+    job.listed = true;
+    noteReady(job);
     dirtyServices.add(job.service);
   }
 
@@ -174,6 +196,18 @@
     if (open != null) {
       open.remove(job);
     }
+    job.listed = false;
+    noteReady(job);
+  }
+
+  /** Keeps up with whether a job has tasks that wait for room only. */
+  void noteReady(Job job) {
+    Set<Job> all = readyByService.computeIfAbsent(job.service, s -> new LinkedHashSet<>());
+    if (job.listed && job.ready) {
+      all.add(job);
+    } else {
+      all.remove(job);
+    }
   }
 
   void wake(Server server) {
@@ -187,7 +221,7 @@
       wake(from);
     }
     task.unbind();
-    task.phase = task.job.phase.ended() ? TaskPhase.DROPPED : TaskPhase.WAITING;
+    task.turn(task.job.phase.ended() ? TaskPhase.DROPPED : TaskPhase.WAITING);
     ledger.changed(task.job);
     dirtyServices.add(task.job.service);
     JobRules.settleIfEnded(this, task.job);
--- a/core/src/main/java/dev/toucanstall/core/plan/Pool.java
+++ b/core/src/main/java/dev/toucanstall/core/plan/Pool.java
@@ -1,8 +1,6 @@
 package dev.toucanstall.core.plan;
 
 import dev.toucanstall.core.job.MachineEntry;
-import dev.toucanstall.core.job.Resources;
-import java.util.Comparator;
 import java.util.List;
 import java.util.Optional;
 import java.util.stream.Stream;
@@ -25,11 +23,8 @@
   Pool(Plan plan, String service, Now now) {
     this.plan = plan;
     this.service = service;
-    this.servers =
-        plan.servers.values().stream()
-            .filter(s -> s.entry.service().equals(service) && works(s, now))
-            .toList();
-    this.needed = Demand.of(plan, service, now).machines(machineSize(plan));
+    this.servers = plan.servers.ofService(service).stream().filter(s -> works(s, now)).toList();
+    this.needed = Demand.of(plan, service, now).machines(plan.servers.largest());
     this.have = servers.size() + plan.moves.incoming(service, now.steadyMs());
   }
 
@@ -42,13 +37,6 @@
         && now.steadyMs() >= server.suspendedUntilMs;
   }
 
-  private static Resources machineSize(Plan plan) {
-    return plan.servers.values().stream()
-        .map(s -> s.entry.capacity())
-        .max(Comparator.comparingLong(Resources::cpu))
-        .orElse(Resources.NONE);
-  }
-
   /** Tells whether the machine of some backend server is not listed yet. */
   boolean hasNamelessMachine() {
     return servers.stream()
--- a/core/src/main/java/dev/toucanstall/core/plan/Recovery.java
+++ b/core/src/main/java/dev/toucanstall/core/plan/Recovery.java
@@ -70,7 +70,7 @@
     task.run = line.run();
     task.failures = line.failures();
     task.saved = line.saved();
-    task.phase = line.phase();
+    task.turn(line.phase());
     if (!task.phase.bound()) {
       return;
     }
--- a/core/src/main/java/dev/toucanstall/core/plan/Server.java
+++ b/core/src/main/java/dev/toucanstall/core/plan/Server.java
@@ -5,6 +5,7 @@
 import dev.toucanstall.core.job.TaskPhase;
 import java.util.LinkedHashSet;
 import java.util.Set;
+import org.jspecify.annotations.Nullable;
 
 /** One life of a backend server, as the planner sees it. Owned by the control thread. */
 final class Server {
@@ -12,8 +13,15 @@
   /** Slowest rate of a backend server's clock against ours. */
   static final double SLOWEST_CLOCK = 0.98;
 
+  /** What it says of itself; changed by {@link #list} only. */
   ServerEntry entry;
 
+  /** Where it is indexed, nothing once it is forgotten. */
+  @Nullable Servers home;
+
+  /** Rises with each backend server that becomes known. */
+  long number;
+
   /** Whether it has answered a call with our fencing token. */
   boolean known;
 
@@ -54,7 +62,7 @@
   /** Until when it gets no new tasks. */
   long suspendedUntilMs;
 
-  /** Whether its tasks are being moved away. */
+  /** Whether its tasks are being moved away; changed by {@link #evacuate} only. */
   boolean evacuating;
 
   /** Since when its tasks are being moved away, 0 if they are not. */
@@ -70,10 +78,17 @@
   int failures;
 
   Resources used = Resources.NONE;
+  private Resources free;
+
+  /** How many of its tasks fill, and how many last without filling. */
+  int filling;
+
+  int serving;
   final Set<Task> tasks = new LinkedHashSet<>();
 
   Server(ServerEntry entry, long nowMs) {
     this.entry = entry;
+    this.free = entry.capacity();
     this.clockMs = entry.clockMs();
     this.clockReadMs = nowMs;
     this.usedMs = nowMs;
@@ -84,7 +99,7 @@
    * unless its lists show otherwise.
    */
   void beginLife(ServerEntry life, long nowMs) {
-    entry = life;
+    list(life);
     known = false;
     holding = false;
     holdAfterMs = 0;
@@ -102,17 +117,83 @@
   void endsStored(long bornMs, long upTo) {
     if (entry.bornMs() == bornMs) {
       storedEnds = Math.max(storedEnds, upTo);
+      look();
+    }
+  }
+
+  /** It says something else of itself. */
+  void list(ServerEntry next) {
+    boolean moves =
+        !next.service().equals(entry.service()) || !next.capacity().equals(entry.capacity());
+    Servers index = home;
+    if (moves && index != null) {
+      index.leave(this);
+    }
+    entry = next;
+    free = next.capacity().minus(used);
+    if (moves && index != null) {
+      index.enter(this);
+    }
+    noteLeaving();
+    look();
+  }
+
+  /** Has its tasks moved away, or not any more. */
+  void evacuate(boolean now) {
+    evacuating = now;
+    noteLeaving();
+  }
+
+  private void noteLeaving() {
+    Servers index = home;
+    if (index != null) {
+      index.noteLeaving(this, evacuating || entry.draining());
+    }
+  }
+
+  /** The next renewal of leases looks at it. */
+  void look() {
+    Servers index = home;
+    if (index != null) {
+      index.look(this);
     }
   }
 
   void bind(Task task) {
-    tasks.add(task);
-    used = used.plus(task.step.reserved());
+    if (tasks.add(task)) {
+      use(used.plus(task.step.reserved()));
+      count(task, 1);
+      look();
+    }
   }
 
   void unbind(Task task) {
-    tasks.remove(task);
-    used = used.minus(task.step.reserved());
+    if (tasks.remove(task)) {
+      use(used.minus(task.step.reserved()));
+      count(task, -1);
+    }
+  }
+
+  private void count(Task task, int change) {
+    if (task.step.fills()) {
+      filling += change;
+    } else if (task.step.lasting()) {
+      serving += change;
+    }
+  }
+
+  private void use(Resources next) {
+    Servers index = home;
+    Runnable change =
+        () -> {
+          used = next;
+          free = entry.capacity().minus(next);
+        };
+    if (index == null) {
+      change.run();
+    } else {
+      index.reorder(this, change);
+    }
   }
 
   void noteUse(long nowMs) {
@@ -122,7 +203,7 @@
   }
 
   Resources free() {
-    return entry.capacity().minus(used);
+    return free;
   }
 
   void readClock(long clock, long nowMs) {
--- a/core/src/main/java/dev/toucanstall/core/plan/ServerRules.java
+++ b/core/src/main/java/dev/toucanstall/core/plan/ServerRules.java
@@ -3,7 +3,6 @@
 import dev.toucanstall.core.job.ServerEntry;
 import dev.toucanstall.core.job.TaskPhase;
 import java.util.ArrayList;
-import java.util.List;
 import java.util.Set;
 import java.util.stream.Collectors;
 
@@ -26,7 +25,8 @@
     read.gone().forEach(id -> unlist(plan, id));
     if (read.complete()) {
       Set<String> ids = read.present().stream().map(ServerEntry::id).collect(Collectors.toSet());
-      plan.servers.keySet().stream()
+      plan.servers.values().stream()
+          .map(server -> server.entry.id())
           .filter(id -> !ids.contains(id))
           .toList()
           .forEach(id -> unlist(plan, id));
@@ -45,7 +45,8 @@
     if (known == null) {
       Server fresh = new Server(entry, now.steadyMs());
       fresh.moving = plan.moves.ends(entry.id());
-      plan.servers.put(entry.id(), fresh);
+      plan.servers.put(fresh);
+      fresh.list(entry);
       plan.moves.arrived(entry.service());
       noteServer(plan, "server-listed", fresh, entry.draining() ? "draining" : "ready");
       return;
@@ -58,7 +59,7 @@
       noteServer(plan, "server-changed", known, entry.draining() ? "draining" : "ready");
       plan.dirtyServices.add(entry.service());
     }
-    known.entry = entry;
+    known.list(entry);
     known.unlisted = false;
   }
 
@@ -117,19 +118,25 @@
     }
   }
 
-  /** Renews the lease of each backend server that needs it, and reads its lists. */
+  /**
+   * Renews the lease of each backend server that needs it, and reads its lists. Only what happens
+   * to a backend server, or the time for which it rests or its leases last, can make it need one.
+   */
   static void renewLeases(Plan plan, Now now) {
     long sinceConfirmed = now.steadyMs() - plan.confirmedMs();
     if (sinceConfirmed > PlanReducer.HOLD_PERMISSION_MS) {
       return;
     }
-    for (Server server : List.copyOf(plan.servers.values())) {
+    for (Server server : plan.servers.takeDue()) {
       if (server.silentSinceMs > 0 && now.steadyMs() >= server.leasesOutMs) {
         leasesOut(plan, server);
       }
       if (wantsHold(server, now)) {
         hold(plan, server, now);
       }
+      if (server.silentSinceMs > 0 || (!server.holding && now.steadyMs() < server.holdAfterMs)) {
+        server.look();
+      }
     }
   }
 
--- a/core/src/main/java/dev/toucanstall/core/plan/Task.java
+++ b/core/src/main/java/dev/toucanstall/core/plan/Task.java
@@ -14,7 +14,11 @@
   final Job job;
   final TaskKey key;
   final StepSpec step;
+  final StepCounts counts;
+
+  /** How far it is; changed by {@link #turn} only. */
   TaskPhase phase = TaskPhase.WAITING;
+
   long run;
   int failures;
   String saved = "";
@@ -44,15 +48,27 @@
   /** Backend servers on which it failed or stood still. */
   final Set<String> avoid = new HashSet<>();
 
-  Task(Job job, TaskKey key, StepSpec step) {
+  Task(Job job, TaskKey key, StepSpec step, StepCounts counts) {
     this.job = job;
     this.key = key;
     this.step = step;
+    this.counts = counts;
+  }
+
+  /** Goes over to another phase. */
+  void turn(TaskPhase next) {
+    TaskPhase before = phase;
+    if (before != next) {
+      phase = next;
+      counts.turn(before, next);
+      job.turned(before, next);
+    }
   }
 
   void bind(Server to) {
     server = to;
     to.bind(this);
+    counts.bind(to);
     job.plan.quotas.add(job.account, step.need());
     job.bound++;
   }
@@ -63,6 +79,7 @@
       return;
     }
     from.unbind(this);
+    counts.unbind(from);
     job.plan.quotas.remove(job.account, step.need());
     job.bound--;
     server = null;
--- a/core/src/main/java/dev/toucanstall/core/plan/Wave.java
+++ b/core/src/main/java/dev/toucanstall/core/plan/Wave.java
@@ -13,6 +13,9 @@
   final WaveOrder order;
   final long dueMs;
 
+  /** The machines to be maintained. */
+  final Set<String> machines;
+
   /** Machines that are being emptied, with the backend server that runs there. */
   final Map<String, String> emptying = new HashMap<>();
 
@@ -33,6 +36,7 @@
 
   Wave(WaveOrder order, long nowMs) {
     this.order = order;
+    this.machines = Set.copyOf(order.machines());
     this.dueMs = nowMs + order.durationMs();
   }
 
--- a/testbed/src/main/java/dev/toucanstall/testbed/bench/PlannerBenchMain.java
+++ b/testbed/src/main/java/dev/toucanstall/testbed/bench/PlannerBenchMain.java
@@ -64,6 +64,7 @@
     long count;
     long ns;
     long bytes;
+    long ownNs;
   }
 
   private final ThreadMXBean threads = (ThreadMXBean) ManagementFactory.getThreadMXBean();
@@ -77,6 +78,7 @@
   private final Plan plan;
   private long tickets;
   private long partBegan;
+  private long ownNs;
   private long mostOpen;
 
   private PlannerBenchMain(Options options) {
@@ -119,7 +121,9 @@
     parts.clear();
     mostOpen = 0;
     final long startsBefore = fleet.starts;
+    final long looksBefore = plan.serversLookedAt();
     time.run(options.runMs);
+    values.put("looks.per.s", (plan.serversLookedAt() - looksBefore) / (options.runMs / SECOND_MS));
     values.put("starts.per.s", (fleet.starts - startsBefore) / (options.runMs / SECOND_MS));
     report(command);
   }
@@ -140,6 +144,7 @@
     final List<PlanEffect> effects = PlanReducer.reduce(plan, event, now());
     Sum sum = events.computeIfAbsent(event.getClass().getSimpleName(), name -> new Sum());
     sum.ns += threads.getCurrentThreadCpuTime() - began;
+    sum.ownNs += ownNs;
     sum.bytes += threads.getCurrentThreadAllocatedBytes() - bytes;
     sum.count++;
     mostOpen = Math.max(mostOpen, plan.openJobs());
@@ -151,6 +156,7 @@
     Sum sum = parts.computeIfAbsent(part, p -> new Sum());
     sum.ns += now - partBegan;
     sum.count++;
+    ownNs = part == PassProbe.Part.EVENT ? now - partBegan : ownNs;
     partBegan = now;
   }
 
@@ -161,6 +167,8 @@
           String prefix = "event." + name.toLowerCase(Locale.ROOT);
           values.put(prefix + ".per.s", sum.count / seconds);
           values.put(prefix + ".us", sum.ns / MICRO_NS / sum.count);
+          values.put(prefix + ".own.us", sum.ownNs / MICRO_NS / sum.count);
+          values.put(prefix + ".allocated.kb", sum.bytes / SECOND_MS / sum.count);
         });
     parts.forEach(
         (part, sum) -> {
