Order a machine elsewhere only once a list shows where it is

Cause: a new backend server counts as the arrival of whichever machine of its service was moved first. The machine that is really on its way was then taken for free: lists show it in the spare pool until it is up, or were asked for before the move. It was ordered to another pool when tasks already ran on it. Change: a machine is moved only if the newest list was asked for after its last move and says that it is up; lists are asked for while that is not so of some machine.

--- a/core/src/main/java/dev/toucanstall/core/plan/Machines.java
+++ b/core/src/main/java/dev/toucanstall/core/plan/Machines.java
@@ -22,6 +22,10 @@
   Map<String, MachineEntry> byServer = new HashMap<>();
 
   boolean known;
+
+  /** When the newest list was asked for, steady milliseconds. */
+  private long listedMs;
+
   private boolean asking;
   private long askAfterMs;
 
@@ -40,13 +44,19 @@
     }
   }
 
-  void read(List<MachineEntry> machines, Now now) {
+  void read(List<MachineEntry> machines, long askedMs, Now now) {
     answered(now);
     known = true;
+    listedMs = askedMs;
     listed = index(machines, MachineEntry::name);
     byServer = index(machines, MachineEntry::server);
   }
 
+  /** Tells whether the newest list shows what was so at a time. */
+  boolean shows(long atMs) {
+    return listedMs > atMs;
+  }
+
   /** A list has come, or could not be had. */
   void answered(Now now) {
     asking = false;
--- a/core/src/main/java/dev/toucanstall/core/plan/Maintenance.java
+++ b/core/src/main/java/dev/toucanstall/core/plan/Maintenance.java
@@ -40,7 +40,7 @@
   }
 
   static void machinesRead(Plan plan, PlanEvent.MachinesRead read, Now now) {
-    plan.machines.read(read.machines(), now);
+    plan.machines.read(read.machines(), read.askedMs(), now);
     for (Wave wave : plan.waves.values()) {
       wave.down.entrySet().removeIf(e -> e.getValue() < read.askedMs() && isBack(plan, e.getKey()));
     }
--- a/core/src/main/java/dev/toucanstall/core/plan/Moves.java
+++ b/core/src/main/java/dev/toucanstall/core/plan/Moves.java
@@ -49,6 +49,11 @@
   /** Earliest time of the next order for a machine. */
   final Map<String, Long> restUntilMs = new HashMap<>();
 
+  /** When each machine was last moved, and when the last of all was. */
+  private final Map<String, Long> begunMs = new HashMap<>();
+
+  private long lastBegunMs = Long.MIN_VALUE;
+
   private final Map<String, Arrival> arriving = new LinkedHashMap<>();
   private final Set<Fit> unfit = new HashSet<>();
 
@@ -82,6 +87,22 @@
     return !unfit.contains(new Fit(machine, service));
   }
 
+  /** Notes that a machine leaves its pool. */
+  void begun(String machine, long nowMs) {
+    begunMs.put(machine, nowMs);
+    lastBegunMs = nowMs;
+  }
+
+  /** Returns when a machine was last moved, or a time before all others. */
+  long begunMs(String machine) {
+    return begunMs.getOrDefault(machine, Long.MIN_VALUE);
+  }
+
+  /** Returns when the last machine was moved, or a time before all others. */
+  long lastBegunMs() {
+    return lastBegunMs;
+  }
+
   void expect(String machine, String service, long untilMs) {
     arriving.put(machine, new Arrival(service, untilMs));
   }
--- a/core/src/main/java/dev/toucanstall/core/plan/PoolMoves.java
+++ b/core/src/main/java/dev/toucanstall/core/plan/PoolMoves.java
@@ -58,7 +58,7 @@
       return;
     }
     List<Pool> pools = pools(plan, now);
-    if (!plan.machines.known || pools.stream().anyMatch(Pool::hasNamelessMachine)) {
+    if (wantsList(plan, pools)) {
       plan.machines.ask(plan, now);
     }
     if (!plan.machines.known) {
@@ -70,6 +70,18 @@
     }
   }
 
+  /** Tells whether the newest list of machines no longer says where each is. */
+  private static boolean wantsList(Plan plan, List<Pool> pools) {
+    return !plan.machines.known
+        || !plan.machines.shows(plan.moves.lastBegunMs())
+        || plan.machines.listed.values().stream().anyMatch(m -> isOff(plan, m) && !m.up())
+        || pools.stream().anyMatch(Pool::hasNamelessMachine);
+  }
+
+  private static boolean isOff(Plan plan, MachineEntry machine) {
+    return plan.catalog.spare().contains(machine.service());
+  }
+
   /** The services that queues name, the one that is shortest of machines first. */
   private static List<Pool> pools(Plan plan, Now now) {
     Set<String> services =
@@ -108,15 +120,18 @@
             .flatMap(from -> from.idle(now, 0).map(m -> new Source(m, () -> from.have--)));
     Stream<Source> off =
         plan.machines.listed.values().stream()
-            .filter(m -> plan.catalog.spare().contains(m.service()))
+            .filter(m -> isOff(plan, m))
             .map(m -> new Source(m, () -> {}));
     Predicate<Source> movable = s -> movable(plan, s.machine(), to.service, now);
     return Stream.concat(idle, off).filter(movable).findFirst();
   }
 
+  /** A machine that is on its way, or that no list has shown since it was moved, stays. */
   private static boolean movable(Plan plan, MachineEntry machine, String service, Now now) {
     String name = machine.name();
-    return !plan.moves.concerns(name)
+    return machine.up()
+        && plan.machines.shows(plan.moves.begunMs(name))
+        && !plan.moves.concerns(name)
         && now.steadyMs() >= plan.moves.restUntilMs.getOrDefault(name, 0L)
         && plan.moves.fits(name, service)
         && plan.waves.values().stream().noneMatch(w -> w.handles(name));
@@ -201,7 +216,8 @@
     if (server != null) {
       ServerRules.died(plan, server, "its machine moves to another pool");
     }
-    plan.machines.listed.put(move.machine, new MachineEntry(move.machine, move.service, true, ""));
+    plan.moves.begun(move.machine, now.steadyMs());
+    plan.machines.listed.put(move.machine, new MachineEntry(move.machine, move.service, false, ""));
     if (!plan.catalog.spare().contains(move.service)) {
       plan.moves.expect(move.machine, move.service, now.steadyMs() + ARRIVE_MS);
     }
--- a/core/src/test/java/dev/toucanstall/core/plan/PlanWorld.java
+++ b/core/src/test/java/dev/toucanstall/core/plan/PlanWorld.java
@@ -23,6 +23,7 @@
 import java.util.PriorityQueue;
 import java.util.Random;
 import java.util.Set;
+import java.util.function.ToLongFunction;
 import java.util.stream.Stream;
 import org.jspecify.annotations.Nullable;
 
@@ -90,6 +91,16 @@
   double lost;
   double late;
   long taskMs = 300;
+
+  /** How long a task runs, in milliseconds. */
+  ToLongFunction<TaskKey> lengthMs = task -> taskMs;
+
+  /** What a machine that was moved offers. */
+  Resources movedCapacity = new Resources(10_000, 1_000_000, 0);
+
+  /** The configuration, if it is not that of the queues above. */
+  @Nullable Catalog given;
+
   boolean storeUp = true;
   long fencedBelow;
   long lastSequence = -1;
@@ -110,6 +121,10 @@
   }
 
   Catalog catalog() {
+    Catalog configured = given;
+    if (configured != null) {
+      return configured;
+    }
     Queue queue = new Queue(QUEUE, "h", "/q/", SERVICE, 0, 3, 2, 600, false, false);
     Account account = new Account(ACCOUNT, Set.of("key"), weight, quota);
     Account other = new Account("b", Set.of("other"), 1, Resources.NONE);
@@ -162,7 +177,10 @@
 
   /** Each backend server begins on a machine named after it. */
   FakeServer server(String id, String service, long cpu) {
-    Resources capacity = new Resources(cpu, 1_000_000, 0);
+    return server(id, service, new Resources(cpu, 1_000_000, 0));
+  }
+
+  FakeServer server(String id, String service, Resources capacity) {
     FakeServer server = new FakeServer(id, "m-" + id, service, capacity, nowMs, this);
     servers.put(id, server);
     return server;
@@ -317,6 +335,11 @@
     }
   }
 
+  /** Counts the machines that are in service or on their way to a pool. */
+  long machinesInUse() {
+    return servers.values().stream().filter(s -> s.up).count() + onTheWay.size();
+  }
+
   private void takeDown(FakeServer server) {
     server.running.keySet().forEach(t -> broken.add("a move ends " + t));
     server.crash();
@@ -326,8 +349,8 @@
   private void bringUp(PlanEffect.Move order) {
     onTheWay.remove(order.machine());
     String id = "n" + ++numbers;
-    Resources capacity = new Resources(10_000, 1_000_000, 0);
-    servers.put(id, new FakeServer(id, order.machine(), order.service(), capacity, nowMs, this));
+    servers.put(
+        id, new FakeServer(id, order.machine(), order.service(), movedCapacity, nowMs, this));
   }
 
   private void maintain(Planner from, PlanEffect.Maintain order) {
@@ -466,7 +489,10 @@
   private PlanEvent obey(FakeServer server, PlanEffect effect, long sentMs) {
     return switch (effect) {
       case PlanEffect.Start start ->
-          answer(start, server.start(start, specOf(start.task()), taskMs, nowMs), sentMs);
+          answer(
+              start,
+              server.start(start, specOf(start.task()), lengthMs.applyAsLong(start.task()), nowMs),
+              sentMs);
       case PlanEffect.Stop stop -> answer(stop, server.stop(stop, nowMs), sentMs);
       case PlanEffect.Hold hold ->
           new PlanEvent.Held(
--- /dev/null
+++ b/core/src/test/java/dev/toucanstall/core/plan/TurnsWorld.java
@@ -0,0 +1,311 @@
+package dev.toucanstall.core.plan;
+
+import dev.toucanstall.core.job.Account;
+import dev.toucanstall.core.job.Catalog;
+import dev.toucanstall.core.job.JobCall;
+import dev.toucanstall.core.job.JobPhase;
+import dev.toucanstall.core.job.JobRecord;
+import dev.toucanstall.core.job.JobSpec;
+import dev.toucanstall.core.job.Queue;
+import dev.toucanstall.core.job.Resources;
+import dev.toucanstall.core.job.StepSpec;
+import dev.toucanstall.core.job.TaskKey;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.Set;
+import java.util.stream.IntStream;
+import java.util.stream.Stream;
+
+/**
+ * Four queues that surge in turn to four times their mean, each with a pool that is too small for
+ * its surge, and a pool of machines that are switched off. Network and planner take no time.
+ */
+final class TurnsWorld {
+
+  /** Length of a turn, in milliseconds. */
+  static final long TURN_MS = 4_000;
+
+  /** Part of its mean that a queue asks for while another has its turn. */
+  private static final double CALM = 0.05;
+
+  /** How many times its mean a queue asks for in its turn. */
+  private static final double SURGE = 4;
+
+  private static final double SECOND_MS = 1_000;
+  private static final long TARGET_MS = 600;
+  private static final double SLACK = 1.6;
+
+  /** Up to this many objectives a job is late, then worth nothing. */
+  private static final int LATE_OBJECTIVES = 3;
+
+  /** Part of its worth that late work earns. */
+  private static final double LATE_PART = 0.07;
+
+  private static final Resources MACHINE = new Resources(64_000, 131_072, 0);
+
+  /** Deviation of the logarithm of an estimate from that of the truth. */
+  double estimateOff = 0.7;
+
+  /**
+   * A queue and its pool.
+   *
+   * @param perS mean of the jobs a second, in a deployment of full size
+   * @param workMs mean length of a task, in milliseconds
+   * @param cpu mean need of a task
+   * @param worth what a job of mean work earns
+   */
+  record Kind(
+      String queue,
+      String service,
+      int machines,
+      double perS,
+      double steps,
+      double workMs,
+      double cpu,
+      double memory,
+      double worth) {
+
+    static final int WIDTH = 8;
+
+    /** Mean work of a job, in core milliseconds. */
+    double meanWork() {
+      return steps * WIDTH * workMs * cpu;
+    }
+  }
+
+  static final List<Kind> KINDS =
+      List.of(
+          new Kind("tile", "tiles", 44, 11.8, 1.6, 800, 8_100, 12_000, 0.403),
+          new Kind("sector", "sectors", 49, 1.82, 2, 2_100, 18_000, 32_000, 2.94),
+          new Kind("gap", "gaps", 54, 14.7, 1.6, 800, 8_100, 12_000, 0.403),
+          new Kind("render", "renders", 60, 2.22, 2, 2_100, 18_000, 32_000, 2.94));
+
+  private static final int OFF_MACHINES = 40;
+
+  /** What a job is owed, and by when. */
+  private record Owed(Kind kind, long sentMs, long objectiveMs, double worth) {}
+
+  final PlanWorld world;
+  private final Random random;
+  private final double size;
+  private final Map<TaskKey, Long> lengths = new HashMap<>();
+  private final Map<String, Owed> owed = new LinkedHashMap<>();
+  private double machineSeconds;
+  private long movesBefore;
+  private long numbers;
+
+  /**
+   * Starts planner and lasting work.
+   *
+   * @param size part of the machines and of the load of a deployment of full size
+   */
+  TurnsWorld(long seed, double size) {
+    this.size = size;
+    random = new Random(seed);
+    world = new PlanWorld(seed);
+    world.movedCapacity = MACHINE;
+    world.given = catalog();
+    world.lengthMs = task -> lengths.getOrDefault(task, 1L);
+    for (Kind kind : KINDS) {
+      IntStream.range(0, scaled(kind.machines))
+          .forEach(i -> world.server(kind.service + i, kind.service, MACHINE));
+    }
+    IntStream.range(0, scaled(OFF_MACHINES)).forEach(i -> world.standby.add("m-off" + i));
+    world.elect();
+    world.run(2_000);
+    for (Kind kind : KINDS) {
+      IntStream.range(0, 2).forEach(i -> submit(kind, List.of(lasting())));
+    }
+  }
+
+  private int scaled(double full) {
+    return Math.max(1, (int) Math.round(full * size));
+  }
+
+  private static Catalog catalog() {
+    List<Queue> queues =
+        KINDS.stream()
+            .map(
+                k ->
+                    new Queue(
+                        k.queue,
+                        "h",
+                        "/" + k.queue + "/",
+                        k.service,
+                        0,
+                        3,
+                        SLACK,
+                        TARGET_MS,
+                        false,
+                        false))
+            .toList();
+    Account account = new Account(PlanWorld.ACCOUNT, Set.of("key"), 1_000, Resources.NONE);
+    return Catalog.of(1, queues, List.of(account), Set.of(PlanWorld.SPARE));
+  }
+
+  private StepSpec lasting() {
+    return step(scaled(24), new Resources(9_000, 31_000, 0), 0, List.of(), 1);
+  }
+
+  private static StepSpec step(
+      int count, Resources need, long estimateMs, List<Integer> after, int perServer) {
+    boolean lasts = estimateMs == 0;
+    return new StepSpec(
+        count,
+        need,
+        estimateMs,
+        after,
+        false,
+        false,
+        false,
+        "",
+        "",
+        perServer,
+        false,
+        lasts,
+        "",
+        0,
+        false,
+        lasts ? 4 : 0);
+  }
+
+  private String submit(Kind kind, List<StepSpec> steps) {
+    String id = kind.queue + ++numbers;
+    JobSpec spec = new JobSpec("text", steps, 1, 0, 0);
+    world.call(new JobCall.Submit(id, kind.queue, PlanWorld.ACCOUNT, spec));
+    return id;
+  }
+
+  /** Passes time without traffic. */
+  void idle(long forMs) {
+    world.run(forMs);
+  }
+
+  /** Passes time with turns, beginning with the turn of the first queue. */
+  void turns(long forMs) {
+    movesBefore = world.moves.size();
+    turns(0, forMs);
+  }
+
+  /** Passes time with turns that have gone on for a while. */
+  void turns(long fromMs, long forMs) {
+    long slice = 20;
+    for (long t = fromMs; t < fromMs + forMs; t += slice) {
+      int turn = (int) (t / TURN_MS) % KINDS.size();
+      for (Kind kind : KINDS) {
+        double factor = kind == KINDS.get(turn) ? SURGE : CALM;
+        double mean = kind.perS * size * factor * slice / SECOND_MS;
+        int jobs = poisson(mean);
+        IntStream.range(0, jobs).forEach(i -> job(kind));
+      }
+      world.run(slice);
+      machineSeconds += world.machinesInUse() * slice / SECOND_MS;
+    }
+  }
+
+  private int poisson(double mean) {
+    double limit = Math.exp(-mean);
+    double product = random.nextDouble();
+    int count = 0;
+    while (product > limit) {
+      count++;
+      product *= random.nextDouble();
+    }
+    return count;
+  }
+
+  /** Returns a value with a mean of 1 whose logarithm deviates so much. */
+  private double spread(double deviation) {
+    return Math.exp(deviation * random.nextGaussian() - deviation * deviation / 2);
+  }
+
+  private void job(Kind kind) {
+    int count = (int) Math.max(1, Math.round(kind.steps + 0.4 * random.nextGaussian()));
+    double work = Math.min(2.5, spread(0.5)) * kind.workMs;
+    int width = (int) Math.clamp(Math.round(Kind.WIDTH * spread(0.5)), 1, 32);
+    long cpu = (long) (kind.cpu * Math.min(3, spread(0.45)));
+    long memory = (long) (kind.memory * Math.min(3, spread(0.5)));
+    List<StepSpec> steps = new ArrayList<>();
+    List<List<Long>> truth = new ArrayList<>();
+    long estimate = (long) Math.max(1, work * Math.exp(estimateOff * random.nextGaussian()));
+    for (int s = 0; s < count; s++) {
+      List<Integer> after = s == 0 ? List.of() : List.of(s - 1);
+      steps.add(step(width, new Resources(cpu, memory, 0), estimate, after, 0));
+      truth.add(
+          Stream.generate(() -> (long) (work * Math.min(2, spread(0.2)))).limit(width).toList());
+    }
+    String id = kind.queue + (numbers + 1);
+    long chain = 0;
+    double cores = 0;
+    for (int s = 0; s < count; s++) {
+      chain += truth.get(s).stream().mapToLong(l -> l).max().orElse(0);
+      for (int i = 0; i < width; i++) {
+        lengths.put(new TaskKey(id, 0, s, i), truth.get(s).get(i));
+        cores += truth.get(s).get(i) * cpu;
+      }
+    }
+    double worth = kind.worth * Math.min(4, 0.3 + 0.7 * cores / kind.meanWork());
+    owed.put(id, new Owed(kind, world.now().wallMs(), (long) (SLACK * chain) + TARGET_MS, worth));
+    submit(kind, steps);
+  }
+
+  private double earned(String id, Owed job) {
+    JobRecord record = world.stored.get("p/" + id);
+    if (!(record instanceof JobRecord.Closed closed) || closed.phase() != JobPhase.COMPLETED) {
+      return 0;
+    }
+    long took = closed.endedMs() - job.sentMs;
+    if (took <= job.objectiveMs) {
+      return job.worth;
+    }
+    return took <= LATE_OBJECTIVES * job.objectiveMs ? LATE_PART * job.worth : 0;
+  }
+
+  /** Returns which part of what was owed for a queue's jobs was earned. */
+  double earnedPart(String queue) {
+    return part(owed.entrySet().stream().filter(e -> e.getValue().kind.queue.equals(queue)));
+  }
+
+  /** Returns which part of all that was owed was earned. */
+  double earnedPart() {
+    return part(owed.entrySet().stream());
+  }
+
+  /** Returns the same for jobs sent in a span, in milliseconds from the start of the turns. */
+  double earnedPart(long fromMs, long toMs) {
+    long start = owed.values().iterator().next().sentMs;
+    return part(
+        owed.entrySet().stream()
+            .filter(e -> e.getValue().sentMs - start >= fromMs)
+            .filter(e -> e.getValue().sentMs - start < toMs));
+  }
+
+  private double part(Stream<Map.Entry<String, Owed>> jobs) {
+    double[] sums = new double[2];
+    jobs.forEach(
+        e -> {
+          sums[0] += earned(e.getKey(), e.getValue());
+          sums[1] += e.getValue().worth;
+        });
+    return sums[1] == 0 ? 1 : sums[0] / sums[1];
+  }
+
+  /** Returns the seconds of machines in pools that are not switched off, during the turns. */
+  double machineSeconds() {
+    return machineSeconds;
+  }
+
+  /** Returns how many orders to move a machine were given during the turns. */
+  long moves() {
+    return world.moves.size() - movesBefore;
+  }
+
+  /** Returns the worth of all jobs. */
+  double worth() {
+    return owed.values().stream().mapToDouble(Owed::worth).sum();
+  }
+}
