Stop a lasting task only while that is still allowed when the stop goes out

The tasks of a start that was not answered three times were stopped, though they worked: planner calls that time out all at once stopped a whole step. 2. Between the decision and the append that stores it other tasks go away; the stop went out all the same. A list that shows the run sent the stop even before the append. 3. A task counted as at work by a list of any age, so also once its lease had lapsed. Change: whether a stop is allowed is asked again when it goes out; if not, the run goes on. A start of a lasting task is sent again while others of its step are away. A list asked for over 4.5 s ago proves no work.

--- a/core/src/main/java/dev/toucanstall/core/plan/Evacuation.java
+++ b/core/src/main/java/dev/toucanstall/core/plan/Evacuation.java
@@ -12,6 +12,12 @@
   /** Share of its work, in percent, at which a lasting task serves its users. */
   static final int AT_WORK = 100;
 
+  /**
+   * A list of runs that was asked for longer ago says nothing of a task, in milliseconds: its lease
+   * may soon have run out. Calls wait for two seconds, so one that is answered is not older.
+   */
+  private static final long FRESH_MS = 4_500;
+
   private Evacuation() {}
 
   static void advance(Plan plan, Now now) {
@@ -31,8 +37,9 @@
         continue;
       }
       if (task.step.lasting()) {
-        if (drains || mayStop(task)) {
-          OrderRules.stopOnceStored(plan, task);
+        if (drains || mayStop(task, now)) {
+          OrderRules.stopOnceStored(
+              plan, task, later -> server.entry.draining() || mayStop(task, later));
         }
       } else if (impatient || (task.step.checkpoints() && server.evacuating)) {
         OrderRules.stopOnceStored(plan, task);
@@ -41,19 +48,20 @@
   }
 
   /** A lasting task may be stopped while fewer others of its step are away than the step bears. */
-  private static boolean mayStop(Task task) {
+  static boolean mayStop(Task task, Now now) {
     List<Task> step = task.job.occurrences.get(task.key.occurrence()).get(task.key.step());
-    long away = step.stream().filter(t -> t != task && !atWork(t)).count();
+    long away = step.stream().filter(t -> t != task && !atWork(t, now)).count();
     return away < Math.max(1, task.step.mayMiss());
   }
 
-  /** A task on a backend server that does not answer may long be gone. */
-  static boolean atWork(Task task) {
+  /** A task on a backend server that has not been heard of for a time may long be gone. */
+  private static boolean atWork(Task task, Now now) {
     Server on = task.server;
     return on != null
         && on.known
         && on.silentSinceMs == 0
         && !on.unlisted
+        && now.steadyMs() - on.listedMs <= FRESH_MS
         && task.phase == TaskPhase.RUNNING
         && task.percent >= AT_WORK;
   }
--- a/core/src/main/java/dev/toucanstall/core/plan/HoldRules.java
+++ b/core/src/main/java/dev/toucanstall/core/plan/HoldRules.java
@@ -80,6 +80,7 @@
       plan.wake(server);
     }
     server.known = true;
+    server.listedMs = held.sentMs();
     server.silentSinceMs = 0;
     server.refusingSinceMs = 0;
     server.readClock(listed.clockMs(), now.steadyMs());
@@ -132,7 +133,7 @@
       task.unanswered = false;
       task.settledMs = now.steadyMs();
     }
-    if (task.phase == TaskPhase.STOPPING && !task.stopSent) {
+    if (task.phase == TaskPhase.STOPPING && !task.stopSent && !task.stopWaits) {
       OrderRules.sendStop(plan, task);
     }
   }
--- a/core/src/main/java/dev/toucanstall/core/plan/OrderRules.java
+++ b/core/src/main/java/dev/toucanstall/core/plan/OrderRules.java
@@ -3,6 +3,7 @@
 import dev.toucanstall.core.job.TaskKey;
 import dev.toucanstall.core.job.TaskPhase;
 import java.util.Optional;
+import java.util.function.Predicate;
 
 /** Decides on the answers to starts and stops. */
 final class OrderRules {
@@ -56,22 +57,41 @@
 
   /** Stops a run once the cause is stored. */
   static void stopOnceStored(Plan plan, Task task) {
+    stopOnceStored(plan, task, now -> true);
+  }
+
+  /** Stops a run once that is stored, if it may still be stopped then or its job has ended. */
+  static void stopOnceStored(Plan plan, Task task, Predicate<Now> mayStill) {
     if (task.phase == TaskPhase.ORDERED && task.sends == 0 && !task.unanswered) {
       plan.release(task);
       return;
     }
     task.phase = TaskPhase.STOPPING;
+    task.stopWaits = true;
     task.settledMs = 0;
     plan.ledger.changed(task.job);
     long run = task.run;
     plan.ledger.afterStore(
         (now, out) -> {
-          if (task.phase == TaskPhase.STOPPING && task.run == run) {
+          if (task.phase != TaskPhase.STOPPING || task.run != run) {
+            return;
+          }
+          task.stopWaits = false;
+          if (task.stopSent || task.job.phase.ended() || mayStill.test(now)) {
             sendStop(plan, task);
+          } else {
+            goesOn(plan, task, now);
           }
         });
   }
 
+  /** A run that was to be stopped goes on, as its stop was not sent. */
+  private static void goesOn(Plan plan, Task task, Now now) {
+    task.phase = TaskPhase.RUNNING;
+    task.settledMs = now.steadyMs();
+    plan.ledger.changed(task.job);
+  }
+
   static void sendStop(Plan plan, Task task) {
     Server server = task.server;
     if (server != null) {
@@ -108,7 +128,7 @@
           ServerRules.connectionRefused(plan, server, now);
         }
       }
-      case OrderResult.Unanswered unanswered -> task.ifPresent(t -> unanswered(plan, t));
+      case OrderResult.Unanswered unanswered -> task.ifPresent(t -> unanswered(plan, t, now));
     }
   }
 
@@ -156,12 +176,16 @@
     }
   }
 
-  private static void unanswered(Plan plan, Task task) {
+  /**
+   * A lasting task may be at work already, so its start goes on being sent while others are away.
+   */
+  private static void unanswered(Plan plan, Task task, Now now) {
     task.unanswered = true;
     if (task.phase != TaskPhase.ORDERED) {
       return;
     }
-    if (task.sends < MAX_SENDS) {
+    boolean kept = task.step.lasting() && !Evacuation.mayStop(task, now);
+    if (task.sends < MAX_SENDS || kept) {
       repeatOnceConfirmed(plan, task);
     } else {
       stopOnceStored(plan, task);
--- a/core/src/main/java/dev/toucanstall/core/plan/Server.java
+++ b/core/src/main/java/dev/toucanstall/core/plan/Server.java
@@ -29,6 +29,9 @@
   /** Earliest time of the next such call. */
   long holdAfterMs;
 
+  /** When the newest of its lists was asked for, steady milliseconds. */
+  long listedMs;
+
   /** When its calls began to fail, 0 if they do not. */
   long silentSinceMs;
 
--- a/core/src/main/java/dev/toucanstall/core/plan/Task.java
+++ b/core/src/main/java/dev/toucanstall/core/plan/Task.java
@@ -26,6 +26,9 @@
   /** Whether a stop of this run was sent in this term. */
   boolean stopSent;
 
+  /** Whether a stop of this run waits for its cause to be stored. */
+  boolean stopWaits;
+
   /** How often the start of this run was sent. */
   int sends;
 
@@ -69,6 +72,7 @@
     unanswered = false;
     sends = 0;
     stopSent = false;
+    stopWaits = false;
     percent = 0;
     pace = 100;
   }
--- a/core/src/test/java/dev/toucanstall/core/plan/FakeServer.java
+++ b/core/src/test/java/dev/toucanstall/core/plan/FakeServer.java
@@ -34,6 +34,13 @@
   boolean up = true;
   boolean reachable = true;
   boolean draining;
+
+  /** Whether it carries out starts but answers none. */
+  boolean mute;
+
+  /** How much later than others its lists reach the planner, in milliseconds. */
+  long listsLateMs;
+
   long fence;
   long leaseMs;
   long ends;
--- a/core/src/test/java/dev/toucanstall/core/plan/PlanTest.java
+++ b/core/src/test/java/dev/toucanstall/core/plan/PlanTest.java
@@ -366,6 +366,67 @@
     assertThat(used.getLast().running).hasSize(1);
   }
 
+  /** Four lasting tasks on a backend server each, one of which may miss, and room for another. */
+  private static PlanWorld lastingTasksApart() {
+    PlanWorld world = elected("w1", "w2", "w3", "w4", "w5");
+    world.submit("j", PlanWorld.lasting(4, 1_000, 1));
+    world.run(1_500);
+    assertThat(runningOf(world, "j")).isEqualTo(4);
+    return world;
+  }
+
+  private static List<FakeServer> used(PlanWorld world) {
+    return world.servers.values().stream().filter(s -> !s.running.isEmpty()).toList();
+  }
+
+  /** Guards against a stop while a lease that lapsed has not been heard of. */
+  @Test
+  void lastingTaskOnServerWithOldListsCountsAsAway() {
+    PlanWorld world = lastingTasksApart();
+    List<FakeServer> used = used(world);
+    used.getFirst().listsLateMs = 10_000;
+    world.run(7_000);
+    assertThat(runningOf(world, "j")).isEqualTo(3);
+    order(world, used.getLast().id);
+    world.run(1_000);
+    assertThat(used.getLast().running).hasSize(1);
+  }
+
+  /** Guards against a stop that was decided before another task of its step went away. */
+  @Test
+  void stopThatWaitsForTheStoreIsNotSentOnceAnotherTaskIsAway() {
+    PlanWorld world = lastingTasksApart();
+    List<FakeServer> used = used(world);
+    world.storeUp = false;
+    order(world, used.getLast().id);
+    world.run(200);
+    used.getFirst().crash();
+    world.run(300);
+    world.storeUp = true;
+    world.run(30);
+    assertThat(used.getLast().running).hasSize(1);
+    world.run(8_000);
+    assertThat(runningOf(world, "j")).isEqualTo(4);
+    assertThat(used.getLast().running).isEmpty();
+  }
+
+  /** Guards against the end of lasting tasks that work, though no start of theirs was answered. */
+  @Test
+  void lastingTasksWhoseStartsAreNotAnsweredAreNotStoppedTogether() {
+    PlanWorld world = elected("w1", "w2", "w3", "w4");
+    for (FakeServer server : world.servers.values()) {
+      server.mute = true;
+      server.listsLateMs = 4_000;
+    }
+    world.submit("j", PlanWorld.lasting(4, 1_000, 1));
+    world.run(200);
+    for (int i = 0; i < 100; i++) {
+      assertThat(runningOf(world, "j")).isEqualTo(4);
+      world.run(50);
+    }
+    assertThat(world.broken).isEmpty();
+  }
+
   @Test
   void listAskedForInTheMillisecondOfTheAnswerToTheStartFreesNothing() {
     PlanWorld world = elected("w1");
--- a/core/src/test/java/dev/toucanstall/core/plan/PlanWorld.java
+++ b/core/src/test/java/dev/toucanstall/core/plan/PlanWorld.java
@@ -442,16 +442,20 @@
       PlanEvent result = obey(server, effect, sentMs);
       boolean waits =
           effect instanceof PlanEffect.Hold hold && hold.waitMs() > 0 && server.ended.isEmpty();
-      if (answerLost) {
+      if (answerLost || (server.mute && effect instanceof PlanEffect.Start)) {
         at(700, () -> from.tell(answer(effect, none, sentMs)));
       } else if (waits) {
-        at(100, () -> from.tell(obeyAgain(server, effect, sentMs)));
+        at(100 + lateMs(server, effect), () -> from.tell(obeyAgain(server, effect, sentMs)));
       } else {
-        at(delay(), () -> from.tell(result));
+        at(delay() + lateMs(server, effect), () -> from.tell(result));
       }
     }
   }
 
+  private static long lateMs(FakeServer server, PlanEffect effect) {
+    return effect instanceof PlanEffect.Hold ? server.listsLateMs : 0;
+  }
+
   /**
    * Starts and stops that are under way reach a later life under the same id. Neither do those that
    * are carried out seconds late, nor renewals: that life knows of no run, so it would repeat a run
