Leave machines in the pool that they were set up for; take those that are off first

Cause: 1.2 s after the last task a pool's machines were switched off, also before any traffic; a surge then waited 2.5 s for each. A surge took idle machines of other pools before those that are off, shortly before the turn of those pools. Ruled out as the only cause: order of late jobs (jobs that have begun first: alike in the model). Change: a machine in the pool where it was first listed is switched off after 30 s without tasks; borrowed ones still after 1.2 s. A pool that is short takes machines that are off, then borrowed ones, then those of others. Evidence: `PoolMovesTest.poolKeepsItsMachinesBetweenSurges` and `surgeTakesMachinesThatAreOff...` failed before.

--- a/core/src/main/java/dev/toucanstall/core/plan/Machines.java
+++ b/core/src/main/java/dev/toucanstall/core/plan/Machines.java
@@ -21,6 +21,9 @@
   /** The same by the id of the backend server that runs on the machine. */
   Map<String, MachineEntry> byServer = new HashMap<>();
 
+  /** The pool in which each machine was first listed. */
+  private final Map<String, String> homes = new HashMap<>();
+
   boolean known;
 
   /** When the newest list was asked for, steady milliseconds. */
@@ -50,6 +53,12 @@
     listedMs = askedMs;
     listed = index(machines, MachineEntry::name);
     byServer = index(machines, MachineEntry::server);
+    machines.forEach(m -> homes.putIfAbsent(m.name(), m.service()));
+  }
+
+  /** Tells whether a machine is in the pool in which it was first listed. */
+  boolean atHome(MachineEntry machine) {
+    return machine.service().equals(homes.get(machine.name()));
   }
 
   /** Tells whether the newest list shows what was so at a time. */
--- a/core/src/main/java/dev/toucanstall/core/plan/Pool.java
+++ b/core/src/main/java/dev/toucanstall/core/plan/Pool.java
@@ -69,4 +69,10 @@
         .filter(s -> s.known && s.tasks.isEmpty() && now.steadyMs() - s.usedMs >= forMs)
         .flatMap(s -> Optional.ofNullable(plan.machines.byServer.get(s.entry.id())).stream());
   }
+
+  /** How long a machine's backend server has had no task, in milliseconds. */
+  long idleMs(MachineEntry machine, Now now) {
+    Server server = plan.servers.get(machine.server());
+    return server == null ? 0 : now.steadyMs() - server.usedMs;
+  }
 }
--- a/core/src/main/java/dev/toucanstall/core/plan/PoolMoves.java
+++ b/core/src/main/java/dev/toucanstall/core/plan/PoolMoves.java
@@ -33,6 +33,12 @@
   /** How long a backend server is without tasks before its machine is spared, in milliseconds. */
   private static final long IDLE_MS = 1_200;
 
+  /**
+   * The same for a machine in the pool that it was set up for: coming back takes seconds of a
+   * surge, which are worth more than an idle machine costs.
+   */
+  private static final long HOME_IDLE_MS = 30_000;
+
   /** The same in a pool that no job has been known for, in milliseconds. */
   private static final long UNUSED_MS = 60_000;
 
@@ -110,20 +116,22 @@
   private record Source(MachineEntry machine, Runnable taken) {}
 
   /**
-   * Machines without tasks in pools that need fewer come first, then those that are switched off.
+   * Machines that are switched off come first, then those without tasks that other pools have
+   * borrowed, then those that belong to pools that need fewer.
    */
   private static Optional<Source> source(Plan plan, Pool to, List<Pool> pools, Now now) {
     Stream<Source> idle =
         pools.stream()
             .filter(from -> from != to && from.mayLose(0))
             .sorted(Comparator.comparingInt(from -> -from.surplus()))
-            .flatMap(from -> from.idle(now, 0).map(m -> new Source(m, () -> from.have--)));
+            .flatMap(from -> from.idle(now, 0).map(m -> new Source(m, () -> from.have--)))
+            .sorted(Comparator.comparing(s -> plan.machines.atHome(s.machine())));
     Stream<Source> off =
         plan.machines.listed.values().stream()
             .filter(m -> isOff(plan, m))
             .map(m -> new Source(m, () -> {}));
     Predicate<Source> movable = s -> movable(plan, s.machine(), to.service, now);
-    return Stream.concat(idle, off).filter(movable).findFirst();
+    return Stream.concat(off, idle).filter(movable).findFirst();
   }
 
   /** A machine that is on its way, or that no list has shown since it was moved, stays. */
@@ -147,7 +155,8 @@
         !plan.arrivals.any(pool.service)
             && plan.openByService.getOrDefault(pool.service, Set.of()).isEmpty();
     List<MachineEntry> idle =
-        pool.idle(now, unused ? UNUSED_MS : IDLE_MS)
+        pool.idle(now, IDLE_MS)
+            .filter(m -> pool.idleMs(m, now) >= restMs(plan, m, unused))
             .filter(m -> movable(plan, m, spare.get(), now))
             .toList();
     for (MachineEntry machine : idle) {
@@ -158,6 +167,11 @@
     }
   }
 
+  /** How long a machine is without tasks before it is switched off, in milliseconds. */
+  private static long restMs(Plan plan, MachineEntry machine, boolean unused) {
+    return unused ? UNUSED_MS : plan.machines.atHome(machine) ? HOME_IDLE_MS : IDLE_MS;
+  }
+
   private static void order(Plan plan, MachineEntry machine, String service, String why) {
     Server server = plan.servers.get(machine.server());
     if (server != null) {
--- a/core/src/test/java/dev/toucanstall/core/plan/PlanWorld.java
+++ b/core/src/test/java/dev/toucanstall/core/plan/PlanWorld.java
@@ -95,6 +95,9 @@
   /** How long a task runs, in milliseconds. */
   ToLongFunction<TaskKey> lengthMs = task -> taskMs;
 
+  /** How long a machine takes to its next pool, in milliseconds. */
+  long moveMs = 1_500;
+
   /** What a machine that was moved offers. */
   Resources movedCapacity = new Resources(10_000, 1_000_000, 0);
 
@@ -331,7 +334,7 @@
       standby.add(order.machine());
     } else if (standby.remove(order.machine()) || on.isPresent()) {
       onTheWay.add(order.machine());
-      at(1_500, () -> bringUp(order));
+      at(moveMs, () -> bringUp(order));
     }
   }
 
--- a/core/src/test/java/dev/toucanstall/core/plan/PoolMovesTest.java
+++ b/core/src/test/java/dev/toucanstall/core/plan/PoolMovesTest.java
@@ -65,6 +65,44 @@
     assertThat(world.broken).isEmpty();
   }
 
+  /** A pool of six machines, whose queue has been used a little, and six that are switched off. */
+  private static PlanWorld calmPoolOfSix() {
+    PlanWorld world = world(1);
+    Stream.of("w3", "w4", "w5", "w6").forEach(id -> world.server(id, 10_000));
+    world.submit("first", PlanWorld.step(1, 1_000));
+    return world;
+  }
+
+  /** Guards against a surge that finds its machines switched off and waits for them. */
+  @Test
+  void poolKeepsItsMachinesBetweenSurges() {
+    PlanWorld world = calmPoolOfSix();
+    world.run(15_000);
+    assertThat(world.moves).isEmpty();
+    assertThat(pool(world)).isEqualTo(6);
+  }
+
+  /** Guards against machines that stay on for good after the last surge. */
+  @Test
+  void poolWithoutSurgesGivesItsMachinesBackInTheEnd() {
+    PlanWorld world = calmPoolOfSix();
+    world.run(45_000);
+    assertThat(pool(world)).isAtMost(3L);
+  }
+
+  /** Guards against a pool robbed of its machines shortly before its own surge. */
+  @Test
+  void surgeTakesMachinesThatAreOffBeforeThoseOfOtherPools() {
+    PlanWorld world = world(1);
+    Stream.of("t3", "t4", "t5", "t6")
+        .forEach(id -> world.server(id, PlanWorld.OTHER_SERVICE, 10_000));
+    world.run(1_000);
+    surge(world, "j");
+    assertThat(pool(world)).isAtLeast(6L);
+    assertThat(world.moves.stream().limit(6).map(PlanEffect.Move::machine))
+        .containsNoneOf("m-t1", "m-t2", "m-t3", "m-t4", "m-t5", "m-t6");
+  }
+
   @Test
   void calmQueueMovesNothing() {
     PlanWorld world = world(1);
--- a/core/src/test/java/dev/toucanstall/core/plan/TurnsWorld.java
+++ b/core/src/test/java/dev/toucanstall/core/plan/TurnsWorld.java
@@ -26,13 +26,22 @@
  */
 final class TurnsWorld {
 
-  /** Length of a turn, in milliseconds. */
-  static final long TURN_MS = 4_000;
+  /** Time between the middles of two turns, in milliseconds. */
+  static final long TURN_MS = 5_500;
+
+  /** Time from the first rise of a turn to its end, in milliseconds. */
+  private static final double WHOLE_TURN_MS = 10_000;
+
+  /** Middle of the first turn, in milliseconds. */
+  private static final long FIRST_MIDDLE_MS = 2_500;
+
+  /** Time until a machine that is moved lists itself, without the wait for the list. */
+  private static final long MOVE_MS = 2_200;
 
   /** Part of its mean that a queue asks for while another has its turn. */
   private static final double CALM = 0.05;
 
-  /** How many times its mean a queue asks for in its turn. */
+  /** How many times its mean a queue asks for in the middle of its turn. */
   private static final double SURGE = 4;
 
   private static final double SECOND_MS = 1_000;
@@ -48,7 +57,7 @@
   private static final Resources MACHINE = new Resources(64_000, 131_072, 0);
 
   /** Deviation of the logarithm of an estimate from that of the truth. */
-  double estimateOff = 0.7;
+  double estimateOff = 0.9;
 
   /**
    * A queue and its pool.
@@ -80,9 +89,9 @@
   static final List<Kind> KINDS =
       List.of(
           new Kind("tile", "tiles", 44, 11.8, 1.6, 800, 8_100, 12_000, 0.403),
-          new Kind("sector", "sectors", 49, 1.82, 2, 2_100, 18_000, 32_000, 2.94),
           new Kind("gap", "gaps", 54, 14.7, 1.6, 800, 8_100, 12_000, 0.403),
-          new Kind("render", "renders", 60, 2.22, 2, 2_100, 18_000, 32_000, 2.94));
+          new Kind("render", "renders", 60, 2.22, 2, 2_100, 18_000, 32_000, 2.94),
+          new Kind("sector", "sectors", 49, 1.82, 2, 2_100, 18_000, 32_000, 2.94));
 
   private static final int OFF_MACHINES = 40;
 
@@ -108,6 +117,7 @@
     random = new Random(seed);
     world = new PlanWorld(seed);
     world.movedCapacity = MACHINE;
+    world.moveMs = MOVE_MS;
     world.given = catalog();
     world.lengthMs = task -> lengths.getOrDefault(task, 1L);
     for (Kind kind : KINDS) {
@@ -118,7 +128,7 @@
     world.elect();
     world.run(2_000);
     for (Kind kind : KINDS) {
-      IntStream.range(0, 2).forEach(i -> submit(kind, List.of(lasting())));
+      submit(kind, List.of(lasting()));
     }
   }
 
@@ -148,7 +158,7 @@
   }
 
   private StepSpec lasting() {
-    return step(scaled(24), new Resources(9_000, 31_000, 0), 0, List.of(), 1);
+    return step(scaled(24), new Resources(9_000, 31_000, 0), 0, List.of(), 2);
   }
 
   private static StepSpec step(
@@ -195,11 +205,9 @@
   void turns(long fromMs, long forMs) {
     long slice = 20;
     for (long t = fromMs; t < fromMs + forMs; t += slice) {
-      int turn = (int) (t / TURN_MS) % KINDS.size();
-      for (Kind kind : KINDS) {
-        double factor = kind == KINDS.get(turn) ? SURGE : CALM;
-        double mean = kind.perS * size * factor * slice / SECOND_MS;
-        int jobs = poisson(mean);
+      for (int k = 0; k < KINDS.size(); k++) {
+        Kind kind = KINDS.get(k);
+        int jobs = poisson(kind.perS * size * factor(k, t) * slice / SECOND_MS);
         IntStream.range(0, jobs).forEach(i -> job(kind));
       }
       world.run(slice);
@@ -207,6 +215,15 @@
     }
   }
 
+  /** Returns how many times its mean a queue asks for at a time. */
+  private static double factor(int turn, long atMs) {
+    long round = TURN_MS * KINDS.size();
+    long middle = FIRST_MIDDLE_MS + TURN_MS * turn;
+    long off = Math.floorMod(atMs - middle + round / 2, round) - round / 2;
+    double rise = Math.cos(Math.PI * off / WHOLE_TURN_MS);
+    return Math.abs(off) < WHOLE_TURN_MS / 2 ? CALM + SURGE * rise * rise : CALM;
+  }
+
   private int poisson(double mean) {
     double limit = Math.exp(-mean);
     double product = random.nextDouble();
