--- a/core/src/main/java/dev/toucanstall/core/plan/PoolMoves.java
+++ b/core/src/main/java/dev/toucanstall/core/plan/PoolMoves.java
@@ -33,6 +33,12 @@
   /** How long a backend server is without tasks before its machine is spared, in milliseconds. */
   private static final long IDLE_MS = 1_200;
 
+  /**
+   * The same for a machine in the pool that it was set up for: coming back takes seconds of a
+   * surge, which are worth more than an idle machine costs.
+   */
+  private static final long HOME_IDLE_MS = 30_000;
+
   /** The same in a pool that no job has been known for, in milliseconds. */
   private static final long UNUSED_MS = 60_000;
 
@@ -58,7 +64,7 @@
       return;
     }
     List<Pool> pools = pools(plan, now);
-    if (!plan.machines.known || pools.stream().anyMatch(Pool::hasNamelessMachine)) {
+    if (wantsList(plan, pools)) {
       plan.machines.ask(plan, now);
     }
     if (!plan.machines.known) {
@@ -70,6 +76,18 @@
     }
   }
 
+  /** Tells whether the newest list of machines no longer says where each is. */
+  private static boolean wantsList(Plan plan, List<Pool> pools) {
+    return !plan.machines.known
+        || !plan.machines.shows(plan.moves.lastBegunMs())
+        || plan.machines.listed.values().stream().anyMatch(m -> isOff(plan, m) && !m.up())
+        || pools.stream().anyMatch(Pool::hasNamelessMachine);
+  }
+
+  private static boolean isOff(Plan plan, MachineEntry machine) {
+    return plan.catalog.spare().contains(machine.service());
+  }
+
   /** The services that queues name, the one that is shortest of machines first. */
   private static List<Pool> pools(Plan plan, Now now) {
     Set<String> services =
@@ -98,25 +116,30 @@
   private record Source(MachineEntry machine, Runnable taken) {}
 
   /**
-   * Machines without tasks in pools that need fewer come first, then those that are switched off.
+   * Machines that are switched off come first, then those without tasks that other pools have
+   * borrowed, then those that belong to pools that need fewer.
    */
   private static Optional<Source> source(Plan plan, Pool to, List<Pool> pools, Now now) {
     Stream<Source> idle =
         pools.stream()
             .filter(from -> from != to && from.mayLose(0))
             .sorted(Comparator.comparingInt(from -> -from.surplus()))
-            .flatMap(from -> from.idle(now, 0).map(m -> new Source(m, () -> from.have--)));
+            .flatMap(from -> from.idle(now, 0).map(m -> new Source(m, () -> from.have--)))
+            .sorted(Comparator.comparing(s -> plan.machines.atHome(s.machine())));
     Stream<Source> off =
         plan.machines.listed.values().stream()
-            .filter(m -> plan.catalog.spare().contains(m.service()))
+            .filter(m -> isOff(plan, m))
             .map(m -> new Source(m, () -> {}));
     Predicate<Source> movable = s -> movable(plan, s.machine(), to.service, now);
-    return Stream.concat(idle, off).filter(movable).findFirst();
+    return Stream.concat(off, idle).filter(movable).findFirst();
   }
 
+  /** A machine that is on its way, or that no list has shown since it was moved, stays. */
   private static boolean movable(Plan plan, MachineEntry machine, String service, Now now) {
     String name = machine.name();
-    return !plan.moves.concerns(name)
+    return machine.up()
+        && plan.machines.shows(plan.moves.begunMs(name))
+        && !plan.moves.concerns(name)
         && now.steadyMs() >= plan.moves.restUntilMs.getOrDefault(name, 0L)
         && plan.moves.fits(name, service)
         && plan.waves.values().stream().noneMatch(w -> w.handles(name));
@@ -132,7 +155,8 @@
         !plan.arrivals.any(pool.service)
             && plan.openByService.getOrDefault(pool.service, Set.of()).isEmpty();
     List<MachineEntry> idle =
-        pool.idle(now, unused ? UNUSED_MS : IDLE_MS)
+        pool.idle(now, IDLE_MS)
+            .filter(m -> pool.idleMs(m, now) >= restMs(plan, m, unused))
             .filter(m -> movable(plan, m, spare.get(), now))
             .toList();
     for (MachineEntry machine : idle) {
@@ -143,6 +167,11 @@
     }
   }
 
+  /** How long a machine is without tasks before it is switched off, in milliseconds. */
+  private static long restMs(Plan plan, MachineEntry machine, boolean unused) {
+    return unused ? UNUSED_MS : plan.machines.atHome(machine) ? HOME_IDLE_MS : IDLE_MS;
+  }
+
   private static void order(Plan plan, MachineEntry machine, String service, String why) {
     Server server = plan.servers.get(machine.server());
     if (server != null) {
@@ -201,7 +230,8 @@
     if (server != null) {
       ServerRules.died(plan, server, "its machine moves to another pool");
     }
-    plan.machines.listed.put(move.machine, new MachineEntry(move.machine, move.service, true, ""));
+    plan.moves.begun(move.machine, now.steadyMs());
+    plan.machines.listed.put(move.machine, new MachineEntry(move.machine, move.service, false, ""));
     if (!plan.catalog.spare().contains(move.service)) {
       plan.moves.expect(move.machine, move.service, now.steadyMs() + ARRIVE_MS);
     }
