Bring about an order that ends a lasting task while too many others are away

Suspected cause: Evacuation.mayStop counts a task as at work as its backend server listed it last. Behind a busy planner that list is older than the leases, some of which have lapsed meanwhile. Change: PlanWorld lets a planner be busy, renewals wait for an end as on the platform, and Availability checks each stop by the rule.

--- a/core/src/test/java/dev/toucanstall/core/plan/PlanWorld.java
+++ b/core/src/test/java/dev/toucanstall/core/plan/PlanWorld.java
@@ -9,6 +9,7 @@
 import dev.toucanstall.core.job.MachineEntry;
 import dev.toucanstall.core.job.Queue;
 import dev.toucanstall.core.job.Resources;
+import dev.toucanstall.core.job.ServerEntry;
 import dev.toucanstall.core.job.StepSpec;
 import dev.toucanstall.core.job.TaskEnd;
 import dev.toucanstall.core.job.TaskKey;
@@ -23,6 +24,9 @@
 import java.util.PriorityQueue;
 import java.util.Random;
 import java.util.Set;
+import java.util.function.Consumer;
+import java.util.function.Supplier;
+import java.util.function.ToLongFunction;
 import java.util.stream.Stream;
 import org.jspecify.annotations.Nullable;
 
@@ -46,16 +50,40 @@
 
     final Plan plan;
     boolean alive = true;
+    private boolean busy;
+    private final List<PlanEvent> waiting = new ArrayList<>();
 
     Planner(Plan plan) {
       this.plan = plan;
     }
 
     void tell(PlanEvent event) {
-      if (alive) {
-        PlanReducer.reduce(plan, event, now()).forEach(effect -> carryOut(this, effect));
+      if (busy) {
+        waiting.add(event);
+      } else if (alive) {
+        PlanReducer.reduce(plan, event, now()).forEach(this::carryOut);
       }
     }
+
+    /** Lets all events wait for a time, as behind long decisions. */
+    void keepBusy(long forMs) {
+      busy = true;
+      at(
+          forMs,
+          () -> {
+            busy = false;
+            List<PlanEvent> late = List.copyOf(waiting);
+            waiting.clear();
+            late.forEach(this::tell);
+          });
+    }
+
+    private void carryOut(PlanEffect effect) {
+      if (effect instanceof PlanEffect.Resign) {
+        alive = false;
+      }
+      PlanWorld.this.carryOut(this::tell, effect);
+    }
   }
 
   private record Due(long atMs, long number, Runnable action) implements Comparable<Due> {
@@ -79,6 +107,7 @@
   final Set<TaskKey> noted = new HashSet<>();
   final Set<TaskKey> done = new HashSet<>();
   final Map<Integer, Boolean> wavesTold = new HashMap<>();
+  final Availability availability = new Availability();
   int parallel = 2;
   final Set<String> standby = new HashSet<>();
   private final Set<String> onTheWay = new HashSet<>();
@@ -87,6 +116,22 @@
   final List<PlanEffect.Move> moves = new ArrayList<>();
   Resources quota = Resources.NONE;
   double weight = 1;
+  Supplier<Catalog> catalogs = this::smallCatalog;
+  ToLongFunction<TaskKey> lengths = task -> this.taskMs;
+
+  /** What a machine that joins a pool has for tasks. */
+  Resources machineSize = new Resources(10_000, 1_000_000, 0);
+
+  /** Whether a call that renews a lease waits for an end as long as it may, or 100 ms at most. */
+  boolean holdsWait;
+
+  /** How long an answer with the list of machines is under way, in milliseconds. */
+  long listMs;
+
+  /** Most moves that the platform takes in a second, 0 for any number. */
+  int movesPerS;
+
+  private final List<Long> moveTimes = new ArrayList<>();
   double lost;
   double late;
   long taskMs = 300;
@@ -110,6 +155,10 @@
   }
 
   Catalog catalog() {
+    return catalogs.get();
+  }
+
+  private Catalog smallCatalog() {
     Queue queue = new Queue(QUEUE, "h", "/q/", SERVICE, 0, 3, 2, 600, false, false);
     Account account = new Account(ACCOUNT, Set.of("key"), weight, quota);
     Account other = new Account("b", Set.of("other"), 1, Resources.NONE);
@@ -138,14 +187,7 @@
   }
 
   private void beat() {
-    tell(
-        new PlanEvent.ServersRead(
-            servers.values().stream()
-                .filter(s -> s.up && s.reachable)
-                .map(s -> s.entry(nowMs))
-                .toList(),
-            servers.values().stream().filter(s -> !s.up).map(s -> s.id).toList(),
-            false));
+    tell(serversRead(false));
     at(BEAT_MS, this::beat);
   }
 
@@ -162,7 +204,10 @@
 
   /** Each backend server begins on a machine named after it. */
   FakeServer server(String id, String service, long cpu) {
-    Resources capacity = new Resources(cpu, 1_000_000, 0);
+    return server(id, service, new Resources(cpu, 1_000_000, 0));
+  }
+
+  FakeServer server(String id, String service, Resources capacity) {
     FakeServer server = new FakeServer(id, "m-" + id, service, capacity, nowMs, this);
     servers.put(id, server);
     return server;
@@ -172,26 +217,39 @@
    * A new planner takes over with the next epoch; the old one, if alive, is fenced at the store.
    */
   Planner elect() {
-    fencedBelow++;
-    lastSequence = 0;
-    List<JobRecord> records =
-        Stream.concat(
-                stored.values().stream().filter(r -> r instanceof JobRecord.Submitted),
-                stored.values().stream().filter(r -> !(r instanceof JobRecord.Submitted)))
-            .toList();
-    Planner next = new Planner(new Plan(fencedBelow, 1, catalog(), records, now()));
+    fence(fencedBelow + 1);
+    Planner next = new Planner(new Plan(fencedBelow, 1, catalog(), records(), now()));
     planner = next;
-    next.tell(
-        new PlanEvent.ServersRead(
-            servers.values().stream()
-                .filter(s -> s.up && s.reachable)
-                .map(s -> s.entry(nowMs))
-                .toList(),
-            List.of(),
-            true));
+    next.tell(serversRead(true));
     return next;
   }
 
+  /** Lets the store take appends of no epoch before one that is at least as high as asked. */
+  long fence(long epoch) {
+    fencedBelow = Math.max(fencedBelow + 1, epoch);
+    lastSequence = 0;
+    return fencedBelow;
+  }
+
+  /** Returns the newest record of each key, submissions first. */
+  List<JobRecord> records() {
+    return Stream.concat(
+            stored.values().stream().filter(r -> r instanceof JobRecord.Submitted),
+            stored.values().stream().filter(r -> !(r instanceof JobRecord.Submitted)))
+        .toList();
+  }
+
+  /** Returns what the store lists of backend servers. */
+  PlanEvent serversRead(boolean whole) {
+    List<ServerEntry> present =
+        servers.values().stream()
+            .filter(s -> s.up && s.reachable)
+            .map(s -> s.entry(nowMs))
+            .toList();
+    List<String> gone = servers.values().stream().filter(s -> !s.up).map(s -> s.id).toList();
+    return new PlanEvent.ServersRead(present, whole ? List.of() : gone, whole);
+  }
+
   long call(JobCall call) {
     long ticket = ++tickets;
     tell(new PlanEvent.Called(ticket, call));
@@ -215,6 +273,14 @@
     return spec(count, cpu, 0, List.of(), perServer, true, false);
   }
 
+  /** Lasting tasks of which some may be away by orders at a time. */
+  static StepSpec lasting(int count, long cpu, int perServer, int mayMiss) {
+    Resources need = new Resources(cpu, 100, 0);
+    return new StepSpec(
+        count, need, 0, List.of(), false, false, false, "", "", perServer, false, true, "", 0,
+        false, mayMiss);
+  }
+
   /** Lasting tasks that use only the processors that others leave idle. */
   static StepSpec filling(int count, long cpu) {
     return spec(count, cpu, 0, List.of(), 0, true, true);
@@ -249,7 +315,8 @@
         mayMiss);
   }
 
-  private void carryOut(Planner from, PlanEffect effect) {
+  /** Carries out what a planner wants; it is told what becomes of it. */
+  void carryOut(Consumer<PlanEvent> from, PlanEffect effect) {
     seen.add(effect);
     switch (effect) {
       case PlanEffect.Answer answer -> answers.put(answer.ticket(), answer.answer());
@@ -259,16 +326,20 @@
       case PlanEffect.Hold hold -> order(from, hold);
       case PlanEffect.ListMachines list -> {
         long asked = nowMs;
-        at(delay(), () -> from.tell(new PlanEvent.MachinesRead(asked, machines())));
+        at(delay(), () -> listed(from, asked));
       }
       case PlanEffect.Maintain maintain -> at(delay(), () -> maintain(from, maintain));
       case PlanEffect.Move move -> move(from, move);
       case PlanEffect.TellWave told -> wavesTold.put(told.wave(), told.completed());
-      case PlanEffect.Resign resign -> from.alive = false;
       default -> {}
     }
   }
 
+  private void listed(Consumer<PlanEvent> from, long askedMs) {
+    PlanEvent read = new PlanEvent.MachinesRead(askedMs, machines());
+    at(listMs, () -> from.accept(read));
+  }
+
   private List<MachineEntry> machines() {
     return Stream.of(
             servers.values().stream().map(s -> new MachineEntry(s.machine, s.service, s.up, s.id)),
@@ -278,15 +349,32 @@
         .toList();
   }
 
-  private void move(Planner from, PlanEffect.Move order) {
+  private void move(Consumer<PlanEvent> from, PlanEffect.Move order) {
     moves.add(order);
+    if (tooManyMoves()) {
+      at(
+          delay(),
+          () ->
+              from.accept(
+                  new PlanEvent.Moved(order.machine(), order.service(), MachineResult.NOT_DONE)));
+      return;
+    }
     boolean answerLost = random.nextDouble() < lost;
     boolean late = answerLost && random.nextBoolean();
     at(late ? 2_000 + random.nextInt(8_000) : delay(), () -> moveNow(order));
     MachineResult result = answerLost ? MachineResult.MAYBE : result(order);
     at(
         answerLost ? 1_500 : 10,
-        () -> from.tell(new PlanEvent.Moved(order.machine(), order.service(), result)));
+        () -> from.accept(new PlanEvent.Moved(order.machine(), order.service(), result)));
+  }
+
+  private boolean tooManyMoves() {
+    moveTimes.removeIf(at -> at <= nowMs - 1_000);
+    if (movesPerS > 0 && moveTimes.size() >= movesPerS) {
+      return true;
+    }
+    moveTimes.add(nowMs);
+    return false;
   }
 
   private MachineResult result(PlanEffect.Move order) {
@@ -326,11 +414,10 @@
   private void bringUp(PlanEffect.Move order) {
     onTheWay.remove(order.machine());
     String id = "n" + ++numbers;
-    Resources capacity = new Resources(10_000, 1_000_000, 0);
-    servers.put(id, new FakeServer(id, order.machine(), order.service(), capacity, nowMs, this));
+    servers.put(id, new FakeServer(id, order.machine(), order.service(), machineSize, nowMs, this));
   }
 
-  private void maintain(Planner from, PlanEffect.Maintain order) {
+  private void maintain(Consumer<PlanEvent> from, PlanEffect.Maintain order) {
     maintained.add(order.machine());
     long down = servers.values().stream().filter(s -> !s.up).count();
     if (down >= parallel) {
@@ -343,14 +430,21 @@
     at(
         delay(),
         () ->
-            from.tell(
+            from.accept(
                 new PlanEvent.Maintained(order.wave(), order.machine(), MachineResult.BEGUN)));
   }
 
   private void restart(FakeServer server) {
     server.running.keySet().forEach(t -> broken.add("maintenance ends " + t));
     server.crash();
-    at(2_000, () -> server(server.id, server.capacity.cpu()));
+    at(2_000, () -> startAgain(server));
+  }
+
+  /** Starts a backend server on the machine and in the pool of one that is gone. */
+  FakeServer startAgain(FakeServer old) {
+    FakeServer fresh = new FakeServer(old.id, old.machine, old.service, old.capacity, nowMs, this);
+    servers.put(old.id, fresh);
+    return fresh;
   }
 
   /** Several events may fall into one millisecond, as on a fast network. */
@@ -358,13 +452,13 @@
     return random.nextInt(5);
   }
 
-  private void append(Planner from, PlanEffect.Append append, long sentMs) {
+  private void append(Consumer<PlanEvent> from, PlanEffect.Append append, long sentMs) {
     Verdict verdict = storeUp ? store(append) : Verdict.NOT_DONE;
     boolean answerLost = verdict == Verdict.DONE && random.nextDouble() < lost;
     at(
         answerLost ? 1_000 : delay(),
         () ->
-            from.tell(
+            from.accept(
                 new PlanEvent.Appended(
                     append.sequence(), sentMs, answerLost ? Verdict.MAYBE : verdict)));
   }
@@ -395,40 +489,68 @@
     }
   }
 
-  private void order(Planner from, PlanEffect effect) {
+  private void order(Consumer<PlanEvent> from, PlanEffect effect) {
     boolean isLate = random.nextDouble() < late;
     long arrives = isLate ? 2_000 + random.nextInt(6_000) : delay();
     boolean answerLost = isLate || random.nextDouble() < lost;
     long sentMs = nowMs;
     at(arrives, () -> arrive(from, effect, isLate, answerLost, sentMs));
     if (isLate) {
-      at(700, () -> from.tell(answer(effect, new OrderResult.Unanswered(), nowMs - 700)));
+      at(700, () -> from.accept(answer(effect, new OrderResult.Unanswered(), nowMs - 700)));
     }
   }
 
   private void arrive(
-      Planner from, PlanEffect effect, boolean isLate, boolean answerLost, long sentMs) {
+      Consumer<PlanEvent> from,
+      PlanEffect effect,
+      boolean isLate,
+      boolean answerLost,
+      long sentMs) {
     FakeServer server = servers.get(serverOf(effect));
     OrderResult none = new OrderResult.Unanswered();
     if (server == null || !server.reachable || isLost(server, effect, isLate)) {
-      at(700, () -> from.tell(answer(effect, none, sentMs)));
+      at(700, () -> from.accept(answer(effect, none, sentMs)));
     } else if (!server.up) {
-      at(delay(), () -> from.tell(answer(effect, new OrderResult.ConnectionRefused(), sentMs)));
+      at(delay(), () -> from.accept(answer(effect, new OrderResult.ConnectionRefused(), sentMs)));
     } else {
       server.pass(nowMs);
       PlanEvent result = obey(server, effect, sentMs);
       boolean waits =
           effect instanceof PlanEffect.Hold hold && hold.waitMs() > 0 && server.ended.isEmpty();
+      if (waits && !answerLost && holdsWait) {
+        awaitEnd(from, server, (PlanEffect.Hold) effect, sentMs, nowMs);
+        return;
+      }
       if (answerLost) {
-        at(700, () -> from.tell(answer(effect, none, sentMs)));
+        at(700, () -> from.accept(answer(effect, none, sentMs)));
       } else if (waits) {
-        at(100, () -> from.tell(obeyAgain(server, effect, sentMs)));
+        at(100, () -> from.accept(obeyAgain(server, effect, sentMs)));
       } else {
-        at(delay(), () -> from.tell(result));
+        at(delay(), () -> from.accept(result));
       }
     }
   }
 
+  /** Answers a call that renews a lease once a run has ended, or when its time is up. */
+  private void awaitEnd(
+      Consumer<PlanEvent> from,
+      FakeServer server,
+      PlanEffect.Hold hold,
+      long sentMs,
+      long arrivedMs) {
+    if (server.up && server.ended.isEmpty() && nowMs < arrivedMs + hold.waitMs()) {
+      at(TICK_MS, () -> awaitEnd(from, server, hold, sentMs, arrivedMs));
+    } else if (server.up && server.reachable) {
+      PlanEvent result = obey(server, hold, sentMs);
+      at(delay(), () -> from.accept(result));
+    } else {
+      long after =
+          server.reachable ? delay() : Math.max(0, arrivedMs + hold.waitMs() + 700 - nowMs);
+      OrderResult broken = new OrderResult.Unanswered();
+      at(after, () -> from.accept(answer(hold, broken, sentMs)));
+    }
+  }
+
   /**
    * Starts and stops that are under way reach a later life under the same id. Neither do those that
    * are carried out seconds late, nor renewals: that life knows of no run, so it would repeat a run
@@ -466,7 +588,10 @@
   private PlanEvent obey(FakeServer server, PlanEffect effect, long sentMs) {
     return switch (effect) {
       case PlanEffect.Start start ->
-          answer(start, server.start(start, specOf(start.task()), taskMs, nowMs), sentMs);
+          answer(
+              start,
+              server.start(start, specOf(start.task()), lengthOf(start.task()), nowMs),
+              sentMs);
       case PlanEffect.Stop stop -> answer(stop, server.stop(stop, nowMs), sentMs);
       case PlanEffect.Hold hold ->
           new PlanEvent.Held(
@@ -479,7 +604,7 @@
     };
   }
 
-  private static PlanEvent answer(PlanEffect effect, OrderResult result, long sentMs) {
+  static PlanEvent answer(PlanEffect effect, OrderResult result, long sentMs) {
     return switch (effect) {
       case PlanEffect.Start s ->
           new PlanEvent.Started(s.server().id(), s.server().bornMs(), s.task(), s.run(), result);
@@ -498,13 +623,17 @@
 
   private final Map<String, JobSpec> specs = new HashMap<>();
 
+  private long lengthOf(TaskKey task) {
+    return lengths.applyAsLong(task);
+  }
+
   private JobSpec jobOf(TaskKey task) {
     return specs.computeIfAbsent(
         task.job(),
         id -> ((JobRecord.Submitted) Objects.requireNonNull(stored.get("s/" + id))).spec());
   }
 
-  private StepSpec specOf(TaskKey task) {
+  StepSpec specOf(TaskKey task) {
     return jobOf(task).steps().get(task.step());
   }
 
@@ -518,6 +647,7 @@
       broken.add("two runs of " + task + " at " + atMs);
     }
     lastStart.put(task, atMs);
+    availability.started(task);
     if (noted.contains(task)) {
       broken.add("a start of " + task + " after its end was noted at " + atMs);
     }
@@ -529,23 +659,39 @@
         }
       }
     }
+    checkQuota(atMs);
+    long used = server.running.keySet().stream().mapToLong(t -> specOf(t).reserved().cpu()).sum();
+    if (used > server.capacity.cpu()) {
+      broken.add("capacity exceeded: " + used + " on " + server.id);
+    }
+  }
+
+  private boolean cancelled(String job) {
+    return stored.get("p/" + job) instanceof JobRecord.Closed
+        || (stored.get("p/" + job) instanceof JobRecord.Progress p && p.phase().ended());
+  }
+
+  private void checkQuota(long atMs) {
+    if (quota.cpu() == 0) {
+      return;
+    }
     long cpu =
         servers.values().stream()
             .flatMap(s -> s.running.keySet().stream())
             .mapToLong(t -> specOf(t).need().cpu())
             .sum();
-    if (quota.cpu() > 0 && cpu > quota.cpu()) {
+    if (cpu > quota.cpu()) {
       broken.add("quota exceeded: " + cpu + " at " + atMs);
     }
-    long used = server.running.keySet().stream().mapToLong(t -> specOf(t).reserved().cpu()).sum();
-    if (used > server.capacity.cpu()) {
-      broken.add("capacity exceeded: " + used + " on " + server.id);
-    }
   }
 
   @Override
   public void over(FakeServer server, TaskKey task, long run, TaskEnd.How how) {
     present.merge(task, -1, Integer::sum);
+    StepSpec step = specOf(task);
+    if (step.lasting() && !cancelled(task.job())) {
+      availability.over(task, step, how, nowMs).ifPresent(broken::add);
+    }
     if (how == TaskEnd.How.DONE) {
       done.add(task);
     }
