Bring about moves that end tasks because a list of machines came late

What callers saw: nothing that is traced to this yet. Cause: a list of machines replaces what is known, though it may have been asked for before a move began. The machine seems to be in the spare pool again; once any backend server of the service has arrived and 2 s have passed, it is ordered from there a second time, which ends all that runs on it.

--- a/core/src/test/java/dev/toucanstall/core/plan/PoolMovesTest.java
+++ b/core/src/test/java/dev/toucanstall/core/plan/PoolMovesTest.java
@@ -1,15 +1,18 @@
 package dev.toucanstall.core.plan;
 
 import static com.google.common.truth.Truth.assertThat;
+import static com.google.common.truth.Truth.assertWithMessage;
 
 import dev.toucanstall.core.job.JobAnswer;
 import dev.toucanstall.core.job.JobCall;
 import dev.toucanstall.core.job.JobPhase;
+import dev.toucanstall.core.job.JobSpec;
 import dev.toucanstall.core.job.Resources;
 import java.util.List;
 import java.util.Objects;
 import java.util.stream.IntStream;
 import java.util.stream.Stream;
+import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 
 /** Each test is named for the pattern of load that it brings about. */
@@ -128,4 +131,30 @@
     world.run(400);
     assertThat(world.moves).isNotEmpty();
   }
+
+  // Guards against a list of machines that is older than a move and has the machine moved again.
+  @Test
+  @Tag("known-red")
+  void moveEndsNoTaskWhenTheListOfMachinesComesLate() {
+    for (long seed = 1; seed <= 2; seed++) {
+      PlanWorld world = world(seed);
+      IntStream.range(6, 40).forEach(i -> world.standby.add("m-off" + i));
+      world.listMs = 1_000;
+      swell(world, PlanWorld.QUEUE, "j");
+      swell(world, "r", "k");
+      assertWithMessage("seed %s", seed).that(world.broken).isEmpty();
+    }
+  }
+
+  /** More and more jobs, so that machines are ordered while others are on their way. */
+  private static void swell(PlanWorld world, String queue, String name) {
+    JobSpec spec = new JobSpec("text", List.of(PlanWorld.step(20, 1_000)), 1, 0, 0);
+    for (int i = 0; i < 40; i++) {
+      for (int n = 0; n <= i / 5; n++) {
+        String job = name + i + "-" + n;
+        world.call(new JobCall.Submit(job, queue, PlanWorld.ACCOUNT, spec));
+      }
+      world.run(100);
+    }
+  }
 }
