--- a/core/src/test/java/dev/toucanstall/core/plan/TurnsWorld.java
+++ b/core/src/test/java/dev/toucanstall/core/plan/TurnsWorld.java
@@ -116,10 +116,11 @@
     this.size = size;
     random = new Random(seed);
     world = new PlanWorld(seed);
-    world.movedCapacity = MACHINE;
+    world.machineSize = MACHINE;
     world.moveMs = MOVE_MS;
-    world.given = catalog();
-    world.lengthMs = task -> lengths.getOrDefault(task, 1L);
+    Catalog catalog = catalog();
+    world.catalogs = () -> catalog;
+    world.lengths = task -> lengths.getOrDefault(task, 1L);
     for (Kind kind : KINDS) {
       IntStream.range(0, scaled(kind.machines))
           .forEach(i -> world.server(kind.service + i, kind.service, MACHINE));
