--- a/core/src/main/java/dev/toucanstall/core/plan/Servers.java
+++ b/core/src/main/java/dev/toucanstall/core/plan/Servers.java
@@ -63,6 +63,10 @@
     return byId.get(id);
   }
 
+  int size() {
+    return byId.size();
+  }
+
   boolean containsKey(String id) {
     return byId.containsKey(id);
   }
