Store the tasks of a job without the names of their fields

Callers saw: on the grown deployments calls waited for appends and expired.

Cause: each change of a task stores all tasks of its job again, each with ten field names.

Change: a task is an array in MessagePack, as the records around it are already. What an earlier version stored is read in its own form.

Open: an earlier version cannot read the new form, so a planner of that version must not follow one of this version: roll out with no way back, or split the reading from the writing over two releases.

ServersTest: one name shorter, for the linter.

--- a/core/src/test/java/dev/toucanstall/core/plan/ServersTest.java
+++ b/core/src/test/java/dev/toucanstall/core/plan/ServersTest.java
@@ -56,7 +56,7 @@
 
   // Guards against a backend server that no renewal looked at after it had started again.
   @Test
-  void serverThatIsListedWithAnotherLifeWhileARenewalWaitsIsHeldAgain() {
+  void serverThatIsListedWithAnotherLifeDuringRenewalIsHeldAgain() {
     PlanWorld world = large();
     FakeServer before =
         world.servers.values().stream().filter(s -> !s.running.isEmpty()).findFirst().orElseThrow();
--- a/testbed/src/main/java/dev/toucanstall/testbed/bench/PlannerBenchMain.java
+++ b/testbed/src/main/java/dev/toucanstall/testbed/bench/PlannerBenchMain.java
@@ -4,12 +4,14 @@
 import com.beust.jcommander.Parameter;
 import com.sun.management.ThreadMXBean;
 import dev.toucanstall.core.job.JobCall;
+import dev.toucanstall.core.job.JobRecord;
 import dev.toucanstall.core.plan.Now;
 import dev.toucanstall.core.plan.PassProbe;
 import dev.toucanstall.core.plan.Plan;
 import dev.toucanstall.core.plan.PlanEffect;
 import dev.toucanstall.core.plan.PlanEvent;
 import dev.toucanstall.core.plan.PlanReducer;
+import dev.toucanstall.wire.job.JobCodec;
 import java.lang.management.ManagementFactory;
 import java.util.EnumMap;
 import java.util.List;
@@ -71,6 +73,7 @@
   private final VirtualTime time = new VirtualTime();
   private final Map<String, Sum> events = new TreeMap<>();
   private final Map<PassProbe.Part, Sum> parts = new EnumMap<>(PassProbe.Part.class);
+  private Sum stored = new Sum();
   private final TreeMap<String, Double> values = new TreeMap<>();
   private final Options options;
   private final PlannerFleet fleet;
@@ -120,6 +123,7 @@
     events.clear();
     parts.clear();
     mostOpen = 0;
+    stored = new Sum();
     final long startsBefore = fleet.starts;
     final long looksBefore = plan.serversLookedAt();
     time.run(options.runMs);
@@ -148,9 +152,22 @@
     sum.bytes += threads.getCurrentThreadAllocatedBytes() - bytes;
     sum.count++;
     mostOpen = Math.max(mostOpen, plan.openJobs());
+    effects.forEach(this::store);
     effects.forEach(fleet::carryOut);
   }
 
+  /** Encodes what is stored, as the control thread does. */
+  private void store(PlanEffect effect) {
+    if (effect instanceof PlanEffect.Append append) {
+      final long began = threads.getCurrentThreadCpuTime();
+      for (JobRecord record : append.records()) {
+        stored.bytes += JobCodec.RECORDS.encode(record).length;
+        stored.count++;
+      }
+      stored.ns += threads.getCurrentThreadCpuTime() - began;
+    }
+  }
+
   private void partOver(PassProbe.Part part) {
     long now = threads.getCurrentThreadCpuTime();
     Sum sum = parts.computeIfAbsent(part, p -> new Sum());
@@ -184,6 +201,10 @@
     values.put("all.allocated.kb.per.s", bytes / SECOND_MS / seconds);
     values.put("all.event.us", ns / MICRO_NS / count);
     values.put("all.events.per.s", count / seconds);
+    values.put("stored.records.per.s", stored.count / seconds);
+    values.put("stored.kb.per.s", stored.bytes / SECOND_MS / seconds);
+    values.put("stored.record.us", stored.ns / MICRO_NS / stored.count);
+    values.put("stored.ms.per.s", stored.ns / MICRO_NS / SECOND_MS / seconds);
     values.put("jobs.open.most", (double) mostOpen);
     values.forEach((name, value) -> System.out.printf("%-36s %.1f%n", name, value));
     if (!options.out.isEmpty()) {
--- a/wire/src/main/java/dev/toucanstall/wire/job/JobCodec.java
+++ b/wire/src/main/java/dev/toucanstall/wire/job/JobCodec.java
@@ -30,10 +30,14 @@
   private final ObjectWriter writer;
   private final ObjectReader reader;
 
+  /** Reads what earlier versions have stored. */
+  private final ObjectReader former;
+
   private JobCodec(Class<T> type) {
     ObjectMapper mapper = Mappers.forMessagePack();
     writer = mapper.writerFor(type);
     reader = mapper.readerFor(type);
+    former = Mappers.forFormerMessagePack().readerFor(type);
   }
 
   /**
@@ -57,8 +61,17 @@
    * @return the value, or why the bytes are malformed
    */
   public Decoded<T> decode(byte[] bytes) {
+    Decoded<T> decoded = decode(reader, bytes);
+    if (decoded instanceof Decoded.Malformed<T>
+        && decode(former, bytes) instanceof Decoded.Value<T> value) {
+      return value;
+    }
+    return decoded;
+  }
+
+  private Decoded<T> decode(ObjectReader with, byte[] bytes) {
     try {
-      T value = reader.readValue(bytes);
+      T value = with.readValue(bytes);
       return value == null
           ? new Decoded.Malformed<>("the bytes hold nil")
           : new Decoded.Value<>(value);
--- a/wire/src/main/java/dev/toucanstall/wire/json/Mappers.java
+++ b/wire/src/main/java/dev/toucanstall/wire/json/Mappers.java
@@ -71,7 +71,8 @@
           JobRecord.class);
 
   private static final ObjectMapper JSON = json();
-  private static final ObjectMapper MESSAGE_PACK = messagePack();
+  private static final ObjectMapper FORMER_MESSAGE_PACK = messagePack();
+  private static final ObjectMapper MESSAGE_PACK = compact(messagePack());
 
   private Mappers() {}
 
@@ -99,6 +100,24 @@
     return MESSAGE_PACK;
   }
 
+  /**
+   * Returns the mapper of MessagePack as earlier versions wrote it, with the names of all fields of
+   * each task of a job.
+   *
+   * @return the mapper, shared
+   */
+  public static ObjectMapper forFormerMessagePack() {
+    return FORMER_MESSAGE_PACK;
+  }
+
+  /** Tasks are most of what is stored, so the names of their fields are left out. */
+  private static ObjectMapper compact(ObjectMapper mapper) {
+    mapper
+        .configOverride(JobRecord.TaskProgress.class)
+        .setFormat(JsonFormat.Value.forShape(JsonFormat.Shape.ARRAY));
+    return mapper;
+  }
+
   private static ObjectMapper json() {
     ObjectMapper mapper =
         prepared(new ObjectMapper()).enable(DeserializationFeature.FAIL_ON_TRAILING_TOKENS);
--- a/wire/src/test/java/dev/toucanstall/wire/job/JobCodecTest.java
+++ b/wire/src/test/java/dev/toucanstall/wire/job/JobCodecTest.java
@@ -14,7 +14,9 @@
 import dev.toucanstall.core.node.Leader;
 import dev.toucanstall.core.node.NodeMessage;
 import dev.toucanstall.wire.Decoded;
+import dev.toucanstall.wire.json.Mappers;
 import java.util.List;
+import java.util.stream.IntStream;
 import java.util.stream.Stream;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -107,4 +109,47 @@
     assertThat(JobCodec.RECORDS.decode(new byte[] {1, 2, 3})).isInstanceOf(Decoded.Malformed.class);
     assertThat(JobCodec.MESSAGES.decode(new byte[0])).isInstanceOf(Decoded.Malformed.class);
   }
+
+  private static JobRecord.Progress wideJob() {
+    return new JobRecord.Progress(
+        "job-1234567",
+        JobPhase.RUNNING,
+        0,
+        IntStream.range(0, 13).mapToObj(i -> i < 6 ? bound(i) : done(i)).toList());
+  }
+
+  private static JobRecord.TaskProgress bound(int index) {
+    return new JobRecord.TaskProgress(
+        0,
+        1,
+        index,
+        TaskPhase.RUNNING,
+        1,
+        "preview-api-hk-a-12",
+        "10.12.34.56:12345",
+        1_764_800_000_000L,
+        0,
+        "");
+  }
+
+  private static JobRecord.TaskProgress done(int index) {
+    return new JobRecord.TaskProgress(0, 0, index, TaskPhase.DONE, 1, "", "", 0, 0, "");
+  }
+
+  // Guards against appends that waited because the records of tasks filled the planner's link.
+  @Test
+  void recordsOfWideJobsLeaveHalfOfSmallLinksFree() {
+    int bytesPerS = 7_000_000 / Byte.SIZE / 2;
+    int recordsPerS = 800; // 600 starts and as many ends a second, of which appends join some
+    assertThat(JobCodec.RECORDS.encode(wideJob()).length).isAtMost(bytesPerS / recordsPerS);
+  }
+
+  // Guards against jobs that are forgotten because an earlier version stored them.
+  @Test
+  void recordThatAnEarlierVersionStoredIsRead() throws Exception {
+    JobRecord record = wideJob();
+    byte[] stored =
+        Mappers.forFormerMessagePack().writerFor(JobRecord.class).writeValueAsBytes(record);
+    assertThat(JobCodec.RECORDS.decode(stored)).isEqualTo(new Decoded.Value<>(record));
+  }
 }
