Let the grace time decide how an instance stops

Cause: a stopping instance ended once no call was pending on a tick, 3 s or more after the signal. With a slow planner a call is always pending, so the process was killed when its grace time was over, with calls open. Clients were never told to leave, a call could wait longer than the process lived, and the servers were stopped without waiting for answers that were being written. Ruled out: the reload signal; its handler reads a file and ends no request. But before the handler is set that signal ends a process, so it is set first. Change: the grace time comes from the settings. From the signal on each answer ends its connection; from half of the grace time calls are refused at once, as not run; at five sixths all that wait are answered; the process then closes its listener, waits for answers that are being written, and ends. A planner waits for its successor up to five sixths.

--- a/core/src/main/java/dev/toucanstall/core/job/JobAnswer.java
+++ b/core/src/main/java/dev/toucanstall/core/job/JobAnswer.java
@@ -50,6 +50,8 @@
     /** No planner is known or the store does not take records. */
     NO_PLANNER,
     /** Too many calls wait. */
-    OVERLOADED
+    OVERLOADED,
+    /** The entry instance stops; another one takes the call. */
+    STOPPING
   }
 }
--- a/core/src/main/java/dev/toucanstall/core/node/Admission.java
+++ b/core/src/main/java/dev/toucanstall/core/node/Admission.java
@@ -23,6 +23,10 @@
 
   static void decide(Node node, NodeEvent.Called called, Now now) {
     ClientCall call = called.call();
+    if (Stopping.refuses(node, now)) {
+      refuse(node, called, Reason.STOPPING, 0);
+      return;
+    }
     Catalog catalog = node.catalog;
     if (catalog == null || !FreshnessRules.fresh(node, now)) {
       refuse(node, called, Reason.NOT_FRESH, RETRY_AFTER_MS);
--- a/core/src/main/java/dev/toucanstall/core/node/Delivery.java
+++ b/core/src/main/java/dev/toucanstall/core/node/Delivery.java
@@ -144,27 +144,32 @@
             });
   }
 
-  /** Ends the wait of calls whose time is up. */
+  /** Ends the wait of calls whose time is up, and of all before the process ends. */
   static void expire(Node node, Now now) {
     refuseUnsent(node, now);
     List<Map.Entry<Long, Pending>> late =
         node.pending.entrySet().stream()
-            .filter(e -> now.steadyMs() >= e.getValue().deadlineMs)
+            .filter(
+                e -> now.steadyMs() >= e.getValue().deadlineMs || Stopping.answersAll(node, now))
             .map(e -> Map.entry(e.getKey(), e.getValue()))
             .toList();
     for (Map.Entry<Long, Pending> entry : late) {
       node.pending.remove(entry.getKey());
       JobCall call = entry.getValue().call;
       node.note("call-expired", "call", name(call), "queue", call.queue());
-      node.emit(
-          new NodeEffect.Answer(
-              entry.getKey(),
-              entry.getValue().uncertain()
-                  ? new JobAnswer.Uncertain()
-                  : new JobAnswer.Refused(Reason.NO_PLANNER, Admission.RETRY_AFTER_MS)));
+      node.emit(new NodeEffect.Answer(entry.getKey(), expired(node, entry.getValue(), now)));
     }
   }
 
+  private static JobAnswer expired(Node node, Pending pending, Now now) {
+    if (pending.uncertain()) {
+      return new JobAnswer.Uncertain();
+    }
+    return Stopping.answersAll(node, now)
+        ? new JobAnswer.Refused(Reason.STOPPING, 0)
+        : new JobAnswer.Refused(Reason.NO_PLANNER, Admission.RETRY_AFTER_MS);
+  }
+
   private static String name(JobCall call) {
     return switch (call) {
       case JobCall.Submit submit -> "submit " + submit.job();
--- a/core/src/main/java/dev/toucanstall/core/node/Node.java
+++ b/core/src/main/java/dev/toucanstall/core/node/Node.java
@@ -46,7 +46,7 @@
   long electAfterMs;
   boolean ready;
   boolean stopping;
-  long exitAtMs;
+  StopTimes stopTimes = StopTimes.NEVER;
   long nextTicket = 1L << 40;
   @Nullable Now last;
 
--- a/core/src/main/java/dev/toucanstall/core/node/NodeEffect.java
+++ b/core/src/main/java/dev/toucanstall/core/node/NodeEffect.java
@@ -101,7 +101,10 @@
    */
   record SetReady(boolean ready) implements NodeEffect {}
 
-  /** End the process. */
+  /** End each connection of a client with its next answer. */
+  record EndConnections() implements NodeEffect {}
+
+  /** End the process once the answers that were given are written. */
   record Exit() implements NodeEffect {}
 
   /**
--- a/core/src/main/java/dev/toucanstall/core/node/NodeEvent.java
+++ b/core/src/main/java/dev/toucanstall/core/node/NodeEvent.java
@@ -139,6 +139,10 @@
    */
   record ForPlan(long epoch, PlanEvent event) implements NodeEvent {}
 
-  /** The process is to stop. */
-  record StopAsked() implements NodeEvent {}
+  /**
+   * The process is to stop.
+   *
+   * @param graceMs time until it is killed, in milliseconds
+   */
+  record StopAsked(long graceMs) implements NodeEvent {}
 }
--- a/core/src/main/java/dev/toucanstall/core/node/NodeReducer.java
+++ b/core/src/main/java/dev/toucanstall/core/node/NodeReducer.java
@@ -40,7 +40,7 @@
       case NodeEvent.Elected elected -> Terms.elected(node, elected, now);
       case NodeEvent.NotElected failed -> Terms.notElected(node, failed.why(), now);
       case NodeEvent.ForPlan forPlan -> Terms.tell(node, forPlan.epoch(), forPlan.event(), now);
-      case NodeEvent.StopAsked stop -> Terms.stop(node, now);
+      case NodeEvent.StopAsked stop -> Stopping.begin(node, stop.graceMs(), now);
     }
     Terms.updateHurry(node);
     FreshnessRules.updateReadiness(node, now);
@@ -50,6 +50,6 @@
   private static void tick(Node node, Now now) {
     Terms.tell(node, new PlanEvent.Tick(), now);
     Delivery.expire(node, now);
-    Terms.exitIfDone(node, now);
+    Stopping.exitIfDone(node, now);
   }
 }
--- a/core/src/main/java/dev/toucanstall/core/node/Terms.java
+++ b/core/src/main/java/dev/toucanstall/core/node/Terms.java
@@ -9,7 +9,7 @@
 import dev.toucanstall.core.plan.PlanReducer;
 import java.util.List;
 
-/** Decides when this entry instance plans and when it ends. */
+/** Decides when this entry instance plans. */
 final class Terms {
 
   /** Pause after a failed try to become the planner, in milliseconds. */
@@ -21,9 +21,6 @@
    */
   private static final long UNFIT_MS = 1_300;
 
-  /** How long a stopping process goes on answering, in milliseconds. */
-  private static final long STOP_MS = 3_000;
-
   private Terms() {}
 
   static void joined(Node node, boolean holder, Now now) {
@@ -148,20 +145,4 @@
     node.origins.clear();
     node.pending.values().stream().filter(p -> p.planned).forEach(Pending::lose);
   }
-
-  static void stop(Node node, Now now) {
-    if (node.stopping) {
-      return;
-    }
-    node.stopping = true;
-    node.exitAtMs = now.steadyMs() + STOP_MS;
-    node.note("stopping");
-    node.emit(new NodeEffect.LeaveGroup());
-  }
-
-  static void exitIfDone(Node node, Now now) {
-    if (node.stopping && now.steadyMs() >= node.exitAtMs && node.pending.isEmpty()) {
-      node.emit(new NodeEffect.Exit());
-    }
-  }
 }
--- /dev/null
+++ b/core/src/test/java/dev/toucanstall/core/node/StoppingTest.java
@@ -0,0 +1,190 @@
+package dev.toucanstall.core.node;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import dev.toucanstall.core.job.Account;
+import dev.toucanstall.core.job.Catalog;
+import dev.toucanstall.core.job.JobAnswer;
+import dev.toucanstall.core.job.JobAnswer.Reason;
+import dev.toucanstall.core.job.JobSpec;
+import dev.toucanstall.core.job.Queue;
+import dev.toucanstall.core.job.Resources;
+import dev.toucanstall.core.model.Address;
+import dev.toucanstall.core.plan.Now;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+/** Calls around the stop of an entry instance, which is killed when its grace time is over. */
+final class StoppingTest {
+
+  private static final long GRACE_MS = 6_000;
+  private static final Address PLANNER = new Address("10.0.0.2", 7000);
+  private static final Address NEXT_PLANNER = new Address("10.0.0.3", 7000);
+  private static final String JOB = "0123456789abcdef";
+
+  private final Node node = new Node("n1");
+  private final List<NodeEffect> effects = new ArrayList<>();
+  private long nowMs = 1_000_000;
+
+  @BeforeEach
+  void knowConfiguration() {
+    readCatalog();
+  }
+
+  private void tell(NodeEvent event) {
+    effects.addAll(NodeReducer.reduce(node, event, new Now(nowMs, nowMs)));
+  }
+
+  private void pass(long millis) {
+    nowMs += millis;
+    tell(new NodeEvent.Tick());
+  }
+
+  private void readCatalog() {
+    Queue queue = new Queue("q", "h", "/q/", "s", 0, 3, 2, 600, false, false);
+    Account account = new Account("a", Set.of("key"), 1, Resources.NONE);
+    Catalog catalog = Catalog.of(1, List.of(queue), List.of(account), Set.of());
+    tell(new NodeEvent.CatalogRead(nowMs, catalog));
+  }
+
+  private void follow(long epoch, Address planner) {
+    tell(new NodeEvent.LeaderRead(new Leader(epoch, "n2", planner)));
+    tell(new NodeEvent.LinkUp(planner));
+  }
+
+  private void becomePlanner() {
+    tell(new NodeEvent.Joined(true));
+    tell(new NodeEvent.Elected(1, 7, List.of()));
+  }
+
+  private void call(long ticket, ClientCall.Kind kind, long waitMs) {
+    JobSpec spec = new JobSpec("", List.of(), 1, 0, 0);
+    ClientCall call = new ClientCall(kind, "h", "/q/" + JOB, "key", waitMs, spec, "");
+    tell(new NodeEvent.Called(ticket, call));
+  }
+
+  private Optional<JobAnswer> answer(long ticket) {
+    return effects.stream()
+        .filter(e -> e instanceof NodeEffect.Answer a && a.ticket() == ticket)
+        .map(e -> ((NodeEffect.Answer) e).answer())
+        .findFirst();
+  }
+
+  private boolean asked(long ticket, Address planner) {
+    return effects.stream()
+        .anyMatch(
+            e ->
+                e instanceof NodeEffect.AskPeer a
+                    && a.ticket() == ticket
+                    && a.planner().equals(planner));
+  }
+
+  private boolean exits() {
+    return effects.contains(new NodeEffect.Exit());
+  }
+
+  /** Clients keep open connections, so requests come until the process is gone. */
+  @Test
+  void stoppingInstanceTellsClientsToLeaveAndAnswersThemMeanwhile() {
+    follow(1, PLANNER);
+    tell(new NodeEvent.StopAsked(GRACE_MS));
+    assertThat(effects).contains(new NodeEffect.EndConnections());
+    pass(1_000);
+    call(1, ClientCall.Kind.SUBMIT, 3_000);
+    assertThat(asked(1, PLANNER)).isTrue();
+    tell(new NodeEvent.PeerAnswered(PLANNER, 1, new JobAnswer.Accepted()));
+    assertThat(answer(1)).hasValue(new JobAnswer.Accepted());
+  }
+
+  /** A call that is still waiting when the process is killed gets no answer. */
+  @Test
+  void callThatWaitsIsAnsweredBeforeTheProcessIsKilled() {
+    follow(1, PLANNER);
+    call(1, ClientCall.Kind.SUBMIT, 20_000);
+    call(2, ClientCall.Kind.SHOW, 20_000);
+    tell(new NodeEvent.StopAsked(GRACE_MS));
+    pass(GRACE_MS * 2 / 3);
+    assertThat(answer(1)).isEmpty();
+    pass(GRACE_MS / 6);
+    assertThat(answer(1)).hasValue(new JobAnswer.Uncertain());
+    assertThat(answer(2)).hasValue(new JobAnswer.Refused(Reason.STOPPING, 0));
+    assertThat(exits()).isTrue();
+  }
+
+  /** A call near the end is sent elsewhere at once: it could not be answered in time. */
+  @Test
+  void lateCallIsRefusedAtOnceAndSentNowhere() {
+    follow(1, PLANNER);
+    call(1, ClientCall.Kind.SUBMIT, 20_000);
+    tell(new NodeEvent.StopAsked(GRACE_MS));
+    pass(GRACE_MS / 2);
+    call(2, ClientCall.Kind.SUBMIT, 3_000);
+    assertThat(answer(2)).hasValue(new JobAnswer.Refused(Reason.STOPPING, 0));
+    assertThat(asked(2, PLANNER)).isFalse();
+  }
+
+  /** With a call always under way the process never ended by itself and was killed. */
+  @Test
+  void instanceEndsInTimeThoughCallsNeverCease() {
+    follow(1, PLANNER);
+    tell(new NodeEvent.StopAsked(GRACE_MS));
+    long asked = nowMs;
+    for (long ticket = 1; !exits() && nowMs - asked < GRACE_MS; ticket++) {
+      call(ticket, ClientCall.Kind.SUBMIT, 3_000);
+      tell(new NodeEvent.PeerAnswered(PLANNER, ticket - 5, new JobAnswer.Accepted()));
+      tell(new NodeEvent.CatalogRead(nowMs, null));
+      pass(50);
+    }
+    assertThat(exits()).isTrue();
+    assertThat(nowMs - asked).isAtMost(GRACE_MS * 2 / 3);
+  }
+
+  /** A shorter grace time leaves less time for calls. */
+  @Test
+  void shortGraceTimeIsKept() {
+    follow(1, PLANNER);
+    call(1, ClientCall.Kind.SUBMIT, 3_000);
+    tell(new NodeEvent.StopAsked(1_200));
+    pass(1_000);
+    assertThat(answer(1)).hasValue(new JobAnswer.Uncertain());
+    assertThat(exits()).isTrue();
+  }
+
+  /** A planner that ends before the next one is named leaves all callers without one. */
+  @Test
+  void stoppingPlannerWaitsSomeTimeForTheNextOne() {
+    becomePlanner();
+    tell(new NodeEvent.StopAsked(GRACE_MS));
+    assertThat(effects).contains(new NodeEffect.LeaveGroup());
+    pass(GRACE_MS * 2 / 3);
+    assertThat(exits()).isFalse();
+    tell(new NodeEvent.LeaderRead(new Leader(2, "n3", NEXT_PLANNER)));
+    pass(20);
+    assertThat(exits()).isTrue();
+  }
+
+  /** Without a next planner the process still ends before it is killed. */
+  @Test
+  void stoppingPlannerWithoutNextOneEndsInTime() {
+    becomePlanner();
+    tell(new NodeEvent.StopAsked(GRACE_MS));
+    pass(GRACE_MS * 5 / 6);
+    assertThat(exits()).isTrue();
+  }
+
+  /** A second signal does not begin the grace time anew. */
+  @Test
+  void secondSignalChangesNothing() {
+    follow(1, PLANNER);
+    call(1, ClientCall.Kind.SUBMIT, 20_000);
+    tell(new NodeEvent.StopAsked(GRACE_MS));
+    pass(GRACE_MS * 2 / 3);
+    tell(new NodeEvent.StopAsked(GRACE_MS));
+    pass(GRACE_MS / 6);
+    assertThat(exits()).isTrue();
+  }
+}
--- a/entry/src/main/java/dev/toucanstall/entry/node/NodeMain.java
+++ b/entry/src/main/java/dev/toucanstall/entry/node/NodeMain.java
@@ -37,8 +37,10 @@
       System.err.printf("environment variable \"%s\" is not set%n", PlatformSettings.VARIABLE);
       return BAD_SETTINGS;
     }
+    // Without a handler this signal ends a process, so it comes first.
+    Signal.handle(new Signal("HUP"), signal -> reload(path));
     return switch (read(path)) {
-      case Decoded.Value<PlatformSettings> value -> serve(value.value(), path);
+      case Decoded.Value<PlatformSettings> value -> serve(value.value());
       case Decoded.Malformed<PlatformSettings> malformed -> {
         System.err.println(path + ": " + malformed.why());
         yield BAD_SETTINGS;
@@ -54,11 +56,10 @@
     }
   }
 
-  private static int serve(PlatformSettings settings, String path) throws InterruptedException {
+  private static int serve(PlatformSettings settings) throws InterruptedException {
     try (NodeProcess process = new NodeProcess(settings)) {
       Signal.handle(new Signal("TERM"), signal -> process.stop());
       Signal.handle(new Signal("INT"), signal -> process.stop());
-      Signal.handle(new Signal("HUP"), signal -> reload(path));
       process.start();
       process.awaitExit();
       return 0;
--- a/entry/src/main/java/dev/toucanstall/entry/node/NodeProcess.java
+++ b/entry/src/main/java/dev/toucanstall/entry/node/NodeProcess.java
@@ -62,6 +62,9 @@
   private static final int ORDER_CONNECTIONS = 4;
   private static final int UNAVAILABLE = 503;
 
+  /** Part of the grace time in which the last answers are written. */
+  private static final int GRACE_PARTS = 12;
+
   private final PlatformSettings settings;
   private final SteadyClock clock = new SteadyClock();
   private final AsyncCalls storeCalls = new AsyncCalls("store", STORE_CONNECTIONS);
@@ -131,18 +134,18 @@
 
   /** Starts to serve. */
   void start() throws IOException {
-    loop.start();
-    watches.add(
-        new Watch(
-            store, CatalogDecoder.TOPIC, CATALOG_WAIT_MS, 0, clock::steadyMs, this::readCatalog));
-    watches.add(
-        new Watch(store, JobLog.LEADERS, LEADER_WAIT_MS, 0, clock::steadyMs, this::readLeader));
     group =
         new Group(
             store,
             settings.name(),
             settings.groupTtlMs(),
             holder -> post(new NodeEvent.Joined(holder)));
+    loop.start();
+    watches.add(
+        new Watch(
+            store, CatalogDecoder.TOPIC, CATALOG_WAIT_MS, 0, clock::steadyMs, this::readCatalog));
+    watches.add(
+        new Watch(store, JobLog.LEADERS, LEADER_WAIT_MS, 0, clock::steadyMs, this::readLeader));
     try {
       clients.start();
       readiness.start();
@@ -265,7 +268,7 @@
 
   /** Begins a graceful stop. */
   void stop() {
-    post(new NodeEvent.StopAsked());
+    post(new NodeEvent.StopAsked(settings.graceMs()));
   }
 
   /** Waits until the process may end. */
@@ -276,12 +279,16 @@
 
   @Override
   public void close() throws Exception {
+    HttpServers.stopAccepting(clients);
+    if (!handler.awaitAnswered(settings.graceMs() / GRACE_PARTS)) {
+      LogLine.of("calls-cut").with("instance", settings.name()).warn(LOG);
+    }
+    clients.stop();
     for (AutoCloseable watch : watches) {
       watch.close();
     }
     ignoreServers();
     status.close();
-    clients.stop();
     readiness.stop();
     planner.close();
     peers.close();
--- a/entry/src/main/java/dev/toucanstall/entry/node/NodeRunner.java
+++ b/entry/src/main/java/dev/toucanstall/entry/node/NodeRunner.java
@@ -106,6 +106,7 @@
       case NodeEffect.HurryGroup hurry -> parts.group().hurry(hurry.soon());
       case NodeEffect.LeaveGroup leave -> parts.group().leave();
       case NodeEffect.SetReady ready -> parts.ready(ready.ready());
+      case NodeEffect.EndConnections end -> clients.endConnections();
       case NodeEffect.Exit exit -> parts.exit();
       case NodeEffect.Note note -> log(note.event(), note.fields());
     }
--- a/runtime/src/main/java/dev/toucanstall/runtime/http/HttpServers.java
+++ b/runtime/src/main/java/dev/toucanstall/runtime/http/HttpServers.java
@@ -1,9 +1,11 @@
 package dev.toucanstall.runtime.http;
 
 import dev.toucanstall.core.model.Address;
+import java.util.Arrays;
 import org.eclipse.jetty.server.Handler;
 import org.eclipse.jetty.server.HttpConfiguration;
 import org.eclipse.jetty.server.HttpConnectionFactory;
+import org.eclipse.jetty.server.NetworkConnector;
 import org.eclipse.jetty.server.Server;
 import org.eclipse.jetty.server.ServerConnector;
 import org.eclipse.jetty.util.VirtualThreads;
@@ -50,4 +52,16 @@
     server.setHandler(handler);
     return server;
   }
+
+  /**
+   * Closes a server's listeners; its connections stay as they are.
+   *
+   * @param server a server that was started
+   */
+  public static void stopAccepting(Server server) {
+    Arrays.stream(server.getConnectors())
+        .filter(NetworkConnector.class::isInstance)
+        .map(NetworkConnector.class::cast)
+        .forEach(NetworkConnector::close);
+  }
 }
