Let links answer for themselves, and end one that takes no message

Callers saw: calls that were answered late or not at all while the planner was slow; many instances lost their link to it within 0.3 s. Cause: pings were answered by the thread that decides. When that was 0.9 s behind, every instance gave its link up, the answers that were on their way were dropped, and all calls were asked again. An answer that a full link did not take was dropped though the link stayed up, so that nobody asked again. After one call that its link did not take, an instance thought a planner that was well unreachable until the link broke. Change: a ping is answered at once by the link's own thread; the decisions' answer follows and counts for 2 s. A link that does not take a message ends, so its other end asks again. A call that a link did not take is sent on the next tick.

--- a/core/src/main/java/dev/toucanstall/core/node/Delivery.java
+++ b/core/src/main/java/dev/toucanstall/core/node/Delivery.java
@@ -108,6 +108,14 @@
     }
   }
 
+  /** A link that did not take a call may take it later; whether it works is told by itself. */
+  static void unsent(Node node, NodeEvent.AskUnsent unsent) {
+    Pending pending = node.pending.get(unsent.ticket());
+    if (pending != null && unsent.to().equals(pending.asked)) {
+      pending.asked = null;
+    }
+  }
+
   static void linkUp(Node node, Address address, Now now) {
     Leader leader = node.leader;
     if (leader != null && leader.address().equals(address) && !node.leaderReachable) {
--- a/core/src/main/java/dev/toucanstall/core/node/Node.java
+++ b/core/src/main/java/dev/toucanstall/core/node/Node.java
@@ -39,6 +39,9 @@
   /** Whether the planner said lately that it plans and the store confirms it. */
   boolean leaderPlans;
 
+  /** When it last said so. */
+  long leaderToldMs;
+
   /** Whether the group is asked more often for want of a planner. */
   boolean hurried = true;
 
--- a/core/src/main/java/dev/toucanstall/core/node/NodeEvent.java
+++ b/core/src/main/java/dev/toucanstall/core/node/NodeEvent.java
@@ -65,6 +65,14 @@
    */
   record PeerDeclined(Address from, long ticket, boolean taken) implements NodeEvent {}
 
+  /**
+   * The link to an entry instance did not take a call.
+   *
+   * @param to the entry instance
+   * @param ticket the call
+   */
+  record AskUnsent(Address to, long ticket) implements NodeEvent {}
+
   /**
    * The link to an entry instance works.
    *
--- a/core/src/main/java/dev/toucanstall/core/node/NodeMessage.java
+++ b/core/src/main/java/dev/toucanstall/core/node/NodeMessage.java
@@ -33,8 +33,11 @@
   /** Asks whether the receiver plans. */
   record Ping() implements NodeMessage {}
 
+  /** Answers a ping at once: the process is there, whatever its decisions take. */
+  record Alive() implements NodeMessage {}
+
   /**
-   * Answers a ping.
+   * Answers a ping once its time comes among the other events.
    *
    * @param plans whether the sender plans and the store has confirmed it lately
    */
--- a/core/src/main/java/dev/toucanstall/core/node/NodeReducer.java
+++ b/core/src/main/java/dev/toucanstall/core/node/NodeReducer.java
@@ -28,9 +28,10 @@
       case NodeEvent.PeerAsked asked -> Delivery.asked(node, asked, now);
       case NodeEvent.PeerPinged pinged ->
           node.emit(new NodeEffect.AnswerPing(pinged.link(), Terms.plansWell(node, now)));
-      case NodeEvent.PeerPonged ponged -> node.leaderPlans = ponged.plans();
+      case NodeEvent.PeerPonged ponged -> Terms.leaderTold(node, ponged.plans(), now);
       case NodeEvent.PeerAnswered answered -> Delivery.peerAnswered(node, answered);
       case NodeEvent.PeerDeclined declined -> Delivery.declined(node, declined, now);
+      case NodeEvent.AskUnsent unsent -> Delivery.unsent(node, unsent);
       case NodeEvent.LinkUp up -> Delivery.linkUp(node, up.address(), now);
       case NodeEvent.LinkDown down -> Delivery.linkDown(node, down);
       case NodeEvent.CatalogRead read -> FreshnessRules.read(node, read, now);
@@ -42,7 +43,7 @@
       case NodeEvent.ForPlan forPlan -> Terms.tell(node, forPlan.epoch(), forPlan.event(), now);
       case NodeEvent.StopAsked stop -> Stopping.begin(node, stop.graceMs(), now);
     }
-    Terms.updateHurry(node);
+    Terms.updateHurry(node, now);
     FreshnessRules.updateReadiness(node, now);
     return node.takeEffects();
   }
@@ -50,6 +51,7 @@
   private static void tick(Node node, Now now) {
     Terms.tell(node, new PlanEvent.Tick(), now);
     Delivery.expire(node, now);
+    Delivery.sendWaiting(node, now);
     Stopping.exitIfDone(node, now);
   }
 }
--- a/core/src/main/java/dev/toucanstall/core/node/Terms.java
+++ b/core/src/main/java/dev/toucanstall/core/node/Terms.java
@@ -21,11 +21,14 @@
    */
   private static final long UNFIT_MS = 1_300;
 
+  /** A planner that has not said for this long that it plans may be replaced, in milliseconds. */
+  private static final long TOLD_MS = 2_000;
+
   private Terms() {}
 
   static void joined(Node node, boolean holder, Now now) {
     if (!holder
-        || planned(node)
+        || planned(node, now)
         || node.electing
         || node.stopping
         || node.catalog == null
@@ -38,13 +41,19 @@
     node.emit(new NodeEffect.Elect(known == null ? 0 : known.epoch()));
   }
 
+  static void leaderTold(Node node, boolean plans, Now now) {
+    node.leaderPlans = plans;
+    node.leaderToldMs = now.steadyMs();
+  }
+
   /** Tells whether some entry instance plans, as far as this one knows. */
-  private static boolean planned(Node node) {
-    return node.plan != null || (node.leaderReachable && node.leaderPlans);
+  private static boolean planned(Node node, Now now) {
+    boolean told = node.leaderPlans && now.steadyMs() - node.leaderToldMs <= TOLD_MS;
+    return node.plan != null || (node.leaderReachable && told);
   }
 
-  static void updateHurry(Node node) {
-    boolean hurried = !planned(node);
+  static void updateHurry(Node node, Now now) {
+    boolean hurried = !planned(node, now);
     if (hurried != node.hurried) {
       node.hurried = hurried;
       node.emit(new NodeEffect.HurryGroup(hurried));
--- a/core/src/test/java/dev/toucanstall/core/node/NodeTest.java
+++ b/core/src/test/java/dev/toucanstall/core/node/NodeTest.java
@@ -284,4 +284,32 @@
     assertThat(effects).contains(new NodeEffect.DeclinePeer(4, 9, true));
     assertThat(node.plans()).isFalse();
   }
+
+  /** After one call that its link did not take, no call went to a planner that was well. */
+  @Test
+  void callThatItsLinkDidNotTakeIsSentAgain() {
+    readCatalog(catalog(1, "key"));
+    followOther(1);
+    submit(1);
+    tell(new NodeEvent.AskUnsent(OTHER, 1));
+    effects.clear();
+    pass(100);
+    assertThat(asked(1)).isTrue();
+    submit(2);
+    assertThat(asked(2)).isTrue();
+  }
+
+  /** A link that stays up says nothing about a planner whose decisions stand still. */
+  @Test
+  void plannerThatNoLongerTellsThatItPlansIsReplaced() {
+    readCatalog(catalog(1, "key"));
+    followOther(1);
+    tell(new NodeEvent.PeerPonged(true));
+    pass(1_900);
+    tell(new NodeEvent.Joined(true));
+    assertThat(effects).doesNotContain(new NodeEffect.Elect(1));
+    pass(200);
+    tell(new NodeEvent.Joined(true));
+    assertThat(effects).contains(new NodeEffect.Elect(1));
+  }
 }
--- a/entry/src/main/java/dev/toucanstall/entry/node/PlannerLink.java
+++ b/entry/src/main/java/dev/toucanstall/entry/node/PlannerLink.java
@@ -22,7 +22,7 @@
   private static final Logger LOG = LogManager.getLogger(PlannerLink.class);
   private static final int CONNECT_MILLIS = 500;
 
-  /** The other end answers a ping each 200 ms; after this silence the link is given up. */
+  /** The other end answers each ping at once; after this silence the link is given up. */
   private static final int SILENT_MILLIS = 900;
 
   private static final long PING_MILLIS = 200;
@@ -53,15 +53,17 @@
     }
   }
 
-  /** Asks the planner; if there is no link to it, that is told as an event. */
+  /**
+   * Asks the planner; if there is no link to it, that is told as an event. A link that is full does
+   * not serve its calls any more and ends.
+   */
   void ask(Address to, long ticket, JobCall call) {
     FrameLink current = link;
-    boolean sent =
-        to.equals(planner)
-            && current != null
-            && current.offer(JobCodec.MESSAGES.encode(new NodeMessage.Ask(ticket, call)));
-    if (!sent) {
-      events.accept(new NodeEvent.PeerDeclined(to, ticket, false));
+    if (!to.equals(planner) || current == null) {
+      events.accept(new NodeEvent.AskUnsent(to, ticket));
+    } else if (!current.offer(JobCodec.MESSAGES.encode(new NodeMessage.Ask(ticket, call)))) {
+      events.accept(new NodeEvent.AskUnsent(to, ticket));
+      current.close();
     }
   }
 
@@ -128,6 +130,7 @@
       case NodeMessage.NotPlanner declined ->
           events.accept(new NodeEvent.PeerDeclined(from, declined.number(), declined.taken()));
       case NodeMessage.Pong pong -> events.accept(new NodeEvent.PeerPonged(pong.plans()));
+      case NodeMessage.Alive alive -> {}
       case NodeMessage.Ping ping -> LogLine.of("ping-unexpected").warn(LOG);
       case NodeMessage.Ask ask ->
           LogLine.of("ask-unexpected").with("number", ask.number()).warn(LOG);
--- a/entry/src/main/java/dev/toucanstall/entry/node/PlannerServer.java
+++ b/entry/src/main/java/dev/toucanstall/entry/node/PlannerServer.java
@@ -78,7 +78,11 @@
     switch (message) {
       case NodeMessage.Ask ask ->
           events.accept(new NodeEvent.PeerAsked(number, ask.number(), ask.call()));
-      case NodeMessage.Ping ping -> events.accept(new NodeEvent.PeerPinged(number));
+      case NodeMessage.Ping ping -> {
+        send(number, new NodeMessage.Alive());
+        events.accept(new NodeEvent.PeerPinged(number));
+      }
+      case NodeMessage.Alive alive -> LogLine.of("reply-unexpected").warn(LOG);
       case NodeMessage.Pong pong -> LogLine.of("pong-unexpected").warn(LOG);
       case NodeMessage.Reply reply ->
           LogLine.of("reply-unexpected").with("number", reply.number()).warn(LOG);
@@ -87,11 +91,17 @@
     }
   }
 
-  /** Sends a message; it is dropped if the link has ended, and its other end asks again. */
+  /**
+   * Sends a message; it is dropped if the link has ended, and its other end asks again. So a link
+   * that does not take a message ends.
+   */
   void send(long number, NodeMessage message) {
     FrameLink link = links.get(number);
-    if (link == null || !link.offer(JobCodec.MESSAGES.encode(message))) {
+    if (link == null) {
       LogLine.of("message-dropped").with("link", number).info(LOG);
+    } else if (!link.offer(JobCodec.MESSAGES.encode(message))) {
+      LogLine.of("link-full").with("link", number).warn(LOG);
+      link.close();
     }
   }
 
--- a/wire/src/test/java/dev/toucanstall/wire/job/JobCodecTest.java
+++ b/wire/src/test/java/dev/toucanstall/wire/job/JobCodecTest.java
@@ -77,6 +77,7 @@
             new NodeMessage.Reply(1, new JobAnswer.Counted(3)),
             new NodeMessage.Reply(1, new JobAnswer.Refused(JobAnswer.Reason.NO_PLANNER, 1_000)),
             new NodeMessage.NotPlanner(1, true),
+            new NodeMessage.Alive(),
             new NodeMessage.Ping(),
             new NodeMessage.Pong(true)));
   }
