Keep the tasks of a silent backend server for one lease after its last answer

A lasting task could be without a run for over 9 s though others had room, which counts as lost. Cause: a new planner assumes that its predecessor may renew leases for 4 s more, so it keeps the tasks of a silent backend server for 10.2 s. It did so also for one that had answered it and fell silent then, though that one has seen the new fencing token and takes no renewal of the predecessor. Change: the first answer to a planner caps the time at one lease and what a slow clock may lose. Test: serverThatAnsweredTheNextPlannerKeepsItsTasksForOneLeaseOnly, failed on the former rules.

--- a/core/src/main/java/dev/toucanstall/core/plan/HoldRules.java
+++ b/core/src/main/java/dev/toucanstall/core/plan/HoldRules.java
@@ -79,6 +79,9 @@
     if (!server.known || server.silentSinceMs > 0) {
       plan.wake(server);
     }
+    if (!server.known) {
+      server.capLeases(PlanReducer.LEASE_MS, now.steadyMs());
+    }
     server.known = true;
     server.silentSinceMs = 0;
     server.refusingSinceMs = 0;
--- a/core/src/main/java/dev/toucanstall/core/plan/Server.java
+++ b/core/src/main/java/dev/toucanstall/core/plan/Server.java
@@ -12,6 +12,9 @@
   /** Slowest rate of a backend server's clock against ours. */
   static final double SLOWEST_CLOCK = 0.98;
 
+  /** What a slow clock loses at most between two looks at it, in milliseconds. */
+  private static final long CLOCK_DRIFT_MS = 200;
+
   ServerEntry entry;
 
   /** Whether it has answered a call with our fencing token. */
@@ -137,6 +140,15 @@
     return clockMs + ahead;
   }
 
+  /**
+   * It has seen our fencing token, so no lease reaches further than one that a predecessor has just
+   * given.
+   */
+  void capLeases(long lengthMs, long nowMs) {
+    long longest = (long) ((lengthMs + CLOCK_DRIFT_MS) / SLOWEST_CLOCK);
+    leasesOutMs = Math.min(leasesOutMs, nowMs + longest);
+  }
+
   boolean takesTasks(long nowMs) {
     return known
         && !unlisted
--- a/core/src/test/java/dev/toucanstall/core/plan/PlanTest.java
+++ b/core/src/test/java/dev/toucanstall/core/plan/PlanTest.java
@@ -151,6 +151,26 @@
     assertThat(world.broken).isEmpty();
   }
 
+  /** Lasting tasks waited as if the predecessor could still renew a lease that it can't. */
+  @Test
+  void serverThatAnsweredTheNextPlannerKeepsItsTasksForOneLeaseOnly() {
+    PlanWorld world = new PlanWorld(1);
+    final FakeServer dark = world.server("w1", 10_000);
+    final PlanWorld.Planner first = world.elect();
+    world.run(200);
+    world.submit("j", PlanWorld.lasting(3, 1_000, 0));
+    world.run(1_000);
+    first.alive = false;
+    world.elect();
+    world.run(300);
+    dark.crash();
+    dark.reachable = false;
+    world.server("w2", 10_000);
+    world.run(7_500);
+    assertThat(world.get("w2").running).hasSize(3);
+    assertThat(world.broken).isEmpty();
+  }
+
   @Test
   void newPlannerGoesOnWithWhatRuns() {
     PlanWorld world = new PlanWorld(1);
