Take a late end of a run for the task if its next start is not sent

Cause: the answer to a renewal came too late for the planner, which was slow. The backend server counted as silent, its tasks were freed once the leases were out, and ordered elsewhere. It answered 0.4 s before the next start was sent and listed the end, which was ignored as it named an earlier run. Change: an end "done" of an earlier run ends a single task that waits, or whose start waits for its intent to be stored. Tests: endThatIsListedBeforeTheNextStartIsSentEndsTheTask, failed on the former rules. Open: an end that is listed after the next start was sent.

--- a/core/src/main/java/dev/toucanstall/core/plan/HoldRules.java
+++ b/core/src/main/java/dev/toucanstall/core/plan/HoldRules.java
@@ -163,6 +163,10 @@
       return;
     }
     Task task = found.get();
+    if (endsBeforeNextStart(task, end)) {
+      done(plan, task, now);
+      return;
+    }
     if (task.run != end.run()) {
       return;
     }
@@ -188,6 +192,15 @@
     JobRules.settleIfEnded(plan, task.job);
   }
 
+  /** Tells whether an earlier run did a task whose next start has not been sent. */
+  private static boolean endsBeforeNextStart(Task task, TaskEnd end) {
+    boolean unsent =
+        task.phase == TaskPhase.WAITING
+            || (task.phase == TaskPhase.ORDERED && task.sends == 0 && !task.unanswered);
+    boolean single = !task.step.lasting() && !task.step.gang();
+    return single && unsent && end.how() == TaskEnd.How.DONE && end.run() < task.run;
+  }
+
   private static void done(Plan plan, Task task, Now now) {
     List<Task> together =
         task.step.gang()
--- a/core/src/test/java/dev/toucanstall/core/plan/PlanTest.java
+++ b/core/src/test/java/dev/toucanstall/core/plan/PlanTest.java
@@ -171,6 +171,35 @@
     assertThat(world.broken).isEmpty();
   }
 
+  /** A run whose end was listed late was done once more, though its next start was not sent yet. */
+  @Test
+  void endThatIsListedBeforeTheNextStartIsSentEndsTheTask() {
+    PlanWorld world = elected("w1");
+    final FakeServer silent = world.get("w1");
+    world.submit("j", PlanWorld.step(1, 1_000));
+    world.run(100);
+    assertThat(silent.running).hasSize(1);
+    silent.reachable = false;
+    world.server("w2", 10_000);
+    final Plan plan = Objects.requireNonNull(world.planner).plan;
+    final Server seen = Objects.requireNonNull(plan.servers.get("w1"));
+    while (world.now().steadyMs() < seen.leasesOutMs - 20) {
+      world.run(10);
+    }
+    world.lost = 1;
+    final Job job = Objects.requireNonNull(plan.jobs.get("j"));
+    while (job.tasks().noneMatch(t -> t.run == 2)) {
+      world.run(1);
+    }
+    silent.reachable = true;
+    world.run(500);
+    world.lost = 0;
+    world.run(4_000);
+    assertThat(show(world, "j")).isEqualTo(new JobAnswer.Shown(JobPhase.COMPLETED));
+    assertThat(world.seen.stream().filter(e -> e instanceof PlanEffect.Start).count()).isEqualTo(1);
+    assertThat(world.broken).isEmpty();
+  }
+
   @Test
   void newPlannerGoesOnWithWhatRuns() {
     PlanWorld world = new PlanWorld(1);
