--- a/core/src/main/java/dev/toucanstall/core/node/Delivery.java
+++ b/core/src/main/java/dev/toucanstall/core/node/Delivery.java
@@ -108,6 +108,14 @@
     }
   }
 
+  /** A link that did not take a call may take it later; whether it works is told by itself. */
+  static void unsent(Node node, NodeEvent.AskUnsent unsent) {
+    Pending pending = node.pending.get(unsent.ticket());
+    if (pending != null && unsent.to().equals(pending.asked)) {
+      pending.asked = null;
+    }
+  }
+
   static void linkUp(Node node, Address address, Now now) {
     Leader leader = node.leader;
     if (leader != null && leader.address().equals(address) && !node.leaderReachable) {
@@ -146,25 +154,30 @@
             });
   }
 
-  /** Ends the wait of calls whose time is up. */
+  /** Ends the wait of calls whose time is up, and of all before the process ends. */
   static void expire(Node node, Now now) {
     refuseUnsent(node, now);
     List<Map.Entry<Long, Pending>> late =
         node.pending.entrySet().stream()
-            .filter(e -> now.steadyMs() >= e.getValue().deadlineMs)
+            .filter(
+                e -> now.steadyMs() >= e.getValue().deadlineMs || Stopping.answersAll(node, now))
             .map(e -> Map.entry(e.getKey(), e.getValue()))
             .toList();
     for (Map.Entry<Long, Pending> entry : late) {
       node.pending.remove(entry.getKey());
       JobCall call = entry.getValue().call;
       node.note("call-expired", "call", name(call), "queue", call.queue());
-      node.emit(
-          new NodeEffect.Answer(
-              entry.getKey(),
-              entry.getValue().uncertain()
-                  ? new JobAnswer.Uncertain()
-                  : new JobAnswer.Refused(Reason.NO_PLANNER, Admission.RETRY_AFTER_MS)));
+      node.emit(new NodeEffect.Answer(entry.getKey(), expired(node, entry.getValue(), now)));
+    }
+  }
+
+  private static JobAnswer expired(Node node, Pending pending, Now now) {
+    if (pending.uncertain()) {
+      return new JobAnswer.Uncertain();
     }
+    return Stopping.answersAll(node, now)
+        ? new JobAnswer.Refused(Reason.STOPPING, 0)
+        : new JobAnswer.Refused(Reason.NO_PLANNER, Admission.RETRY_AFTER_MS);
   }
 
   private static String name(JobCall call) {
--- a/core/src/main/java/dev/toucanstall/core/node/Node.java
+++ b/core/src/main/java/dev/toucanstall/core/node/Node.java
@@ -50,6 +50,9 @@
   /** Until when a planner that was just named or linked to may not have said whether it plans. */
   long leaderUnheardUntilMs;
 
+  /** When it last said whether it plans. */
+  long leaderToldMs;
+
   /** Whether the group is asked more often for want of a planner. */
   boolean hurried = true;
 
@@ -57,7 +60,7 @@
   long electAfterMs;
   boolean ready;
   boolean stopping;
-  long exitAtMs;
+  StopTimes stopTimes = StopTimes.NEVER;
   long nextTicket = 1L << 40;
   @Nullable Now last;
 
--- a/core/src/main/java/dev/toucanstall/core/node/NodeEvent.java
+++ b/core/src/main/java/dev/toucanstall/core/node/NodeEvent.java
@@ -67,6 +67,14 @@
    */
   record PeerDeclined(Address from, long ticket, boolean taken) implements NodeEvent {}
 
+  /**
+   * The link to an entry instance did not take a call.
+   *
+   * @param to the entry instance
+   * @param ticket the call
+   */
+  record AskUnsent(Address to, long ticket) implements NodeEvent {}
+
   /**
    * The link to an entry instance works.
    *
@@ -141,6 +149,10 @@
    */
   record ForPlan(long epoch, PlanEvent event) implements NodeEvent {}
 
-  /** The process is to stop. */
-  record StopAsked() implements NodeEvent {}
+  /**
+   * The process is to stop.
+   *
+   * @param graceMs time until it is killed, in milliseconds
+   */
+  record StopAsked(long graceMs) implements NodeEvent {}
 }
--- a/core/src/main/java/dev/toucanstall/core/node/NodeMessage.java
+++ b/core/src/main/java/dev/toucanstall/core/node/NodeMessage.java
@@ -38,8 +38,11 @@
    */
   record Ping(double cores) implements NodeMessage {}
 
+  /** Answers a ping at once: the process is there, whatever its decisions take. */
+  record Alive() implements NodeMessage {}
+
   /**
-   * Answers a ping.
+   * Answers a ping once its time comes among the other events.
    *
    * @param plans whether the sender plans and the store has confirmed it lately
    * @param yields whether the receiver should plan instead
--- a/core/src/main/java/dev/toucanstall/core/node/NodeReducer.java
+++ b/core/src/main/java/dev/toucanstall/core/node/NodeReducer.java
@@ -30,6 +30,7 @@
       case NodeEvent.PeerPonged ponged -> Terms.ponged(node, ponged, now);
       case NodeEvent.PeerAnswered answered -> Delivery.peerAnswered(node, answered);
       case NodeEvent.PeerDeclined declined -> Delivery.declined(node, declined, now);
+      case NodeEvent.AskUnsent unsent -> Delivery.unsent(node, unsent);
       case NodeEvent.LinkUp up -> Delivery.linkUp(node, up.address(), now);
       case NodeEvent.LinkDown down -> Delivery.linkDown(node, down);
       case NodeEvent.CatalogRead read -> FreshnessRules.read(node, read, now);
@@ -39,7 +40,7 @@
       case NodeEvent.Elected elected -> Terms.elected(node, elected, now);
       case NodeEvent.NotElected failed -> Terms.notElected(node, failed.why(), now);
       case NodeEvent.ForPlan forPlan -> Terms.tell(node, forPlan.epoch(), forPlan.event(), now);
-      case NodeEvent.StopAsked stop -> Terms.stop(node, now);
+      case NodeEvent.StopAsked stop -> Stopping.begin(node, stop.graceMs(), now);
     }
     Terms.updateHurry(node, now);
     FreshnessRules.updateReadiness(node, now);
@@ -49,6 +50,7 @@
   private static void tick(Node node, Now now) {
     Terms.tell(node, new PlanEvent.Tick(), now);
     Delivery.expire(node, now);
-    Terms.exitIfDone(node, now);
+    Delivery.sendWaiting(node, now);
+    Stopping.exitIfDone(node, now);
   }
 }
--- a/core/src/main/java/dev/toucanstall/core/node/Terms.java
+++ b/core/src/main/java/dev/toucanstall/core/node/Terms.java
@@ -9,7 +9,7 @@
 import dev.toucanstall.core.plan.PlanReducer;
 import java.util.List;
 
-/** Decides when this entry instance plans and when it ends. */
+/** Decides when this entry instance plans. */
 final class Terms {
 
   /** Pause after a failed try to become the planner, in milliseconds. */
@@ -27,8 +27,8 @@
    */
   private static final long UNHEARD_MS = 1_000;
 
-  /** How long a stopping process goes on answering, in milliseconds. */
-  private static final long STOP_MS = 3_000;
+  /** A planner that has not said for this long that it plans may be replaced, in milliseconds. */
+  private static final long TOLD_MS = 2_000;
 
   private Terms() {}
 
@@ -70,6 +70,7 @@
 
   static void ponged(Node node, NodeEvent.PeerPonged ponged, Now now) {
     node.leaderPlans = ponged.plans();
+    node.leaderToldMs = now.steadyMs();
     node.leaderUnheardUntilMs = 0;
     if (ponged.yields() && node.plan == null) {
       elect(node, "a smaller instance plans", now);
@@ -81,9 +82,10 @@
    * linked to gets time to say so.
    */
   private static boolean planned(Node node, Now now) {
+    boolean told = node.leaderPlans && now.steadyMs() - node.leaderToldMs <= TOLD_MS;
     return node.plan != null
         || now.steadyMs() < node.leaderUnheardUntilMs
-        || (node.leaderReachable && node.leaderPlans);
+        || (node.leaderReachable && told);
   }
 
   /** Gives the planner time to say whether it plans. */
@@ -202,20 +204,4 @@
     node.origins.clear();
     node.pending.values().stream().filter(p -> p.planned).forEach(Pending::lose);
   }
-
-  static void stop(Node node, Now now) {
-    if (node.stopping) {
-      return;
-    }
-    node.stopping = true;
-    node.exitAtMs = now.steadyMs() + STOP_MS;
-    node.note("stopping");
-    node.emit(new NodeEffect.LeaveGroup());
-  }
-
-  static void exitIfDone(Node node, Now now) {
-    if (node.stopping && now.steadyMs() >= node.exitAtMs && node.pending.isEmpty()) {
-      node.emit(new NodeEffect.Exit());
-    }
-  }
 }
