Measure how long lasting tasks are without a run

Guards against LOST: a lasting task without a run for 3 s while there is room. The list of backend servers keeps a dark one, as the platform does for some heartbeats; the answers of the store to appends can be slow.

--- a/core/src/test/java/dev/toucanstall/core/plan/Availability.java
+++ b/core/src/test/java/dev/toucanstall/core/plan/Availability.java
@@ -7,7 +7,10 @@
 import java.util.Map;
 import java.util.Optional;
 
-/** Checks that no order ends a lasting task while as many others of its step are away as may be. */
+/**
+ * Checks that no order ends a lasting task while as many others of its step are away as may be, and
+ * measures how long lasting tasks are without a run.
+ */
 final class Availability {
 
   /** A task that is not at work for this long counts as away for any cause, in milliseconds. */
@@ -25,8 +28,18 @@
   /** Whether leases lapse without a disruption near, which counts as an order. */
   boolean lapsesCount;
 
-  void started(TaskKey task) {
-    away.remove(task);
+  private long longestMs;
+
+  void started(TaskKey task, long nowMs) {
+    Away since = away.remove(task);
+    if (since != null) {
+      longestMs = Math.max(longestMs, nowMs - since.sinceMs());
+    }
+  }
+
+  /** Returns the longest time that a lasting task has been without a run, in milliseconds. */
+  long longestMs(long nowMs) {
+    return away.values().stream().mapToLong(a -> nowMs - a.sinceMs()).reduce(longestMs, Math::max);
   }
 
   /** Notes the end of a run; returns what promise it breaks, if any. */
--- a/core/src/test/java/dev/toucanstall/core/plan/PlanWorld.java
+++ b/core/src/test/java/dev/toucanstall/core/plan/PlanWorld.java
@@ -125,6 +125,9 @@
   /** Whether a call that renews a lease waits for an end as long as it may, or 100 ms at most. */
   boolean holdsWait;
 
+  /** How long the store's answers to appends are under way beyond the usual, in milliseconds. */
+  long storeMs;
+
   /** How long an answer with the list of machines is under way, in milliseconds. */
   long listMs;
 
@@ -246,7 +249,8 @@
             .filter(s -> s.up && s.reachable)
             .map(s -> s.entry(nowMs))
             .toList();
-    List<String> gone = servers.values().stream().filter(s -> !s.up).map(s -> s.id).toList();
+    List<String> gone =
+        servers.values().stream().filter(s -> !s.up && s.reachable).map(s -> s.id).toList();
     return new PlanEvent.ServersRead(present, whole ? List.of() : gone, whole);
   }
 
@@ -456,7 +460,7 @@
     Verdict verdict = storeUp ? store(append) : Verdict.NOT_DONE;
     boolean answerLost = verdict == Verdict.DONE && random.nextDouble() < lost;
     at(
-        answerLost ? 1_000 : delay(),
+        answerLost ? 1_000 : delay() + storeMs,
         () ->
             from.accept(
                 new PlanEvent.Appended(
@@ -647,7 +651,7 @@
       broken.add("two runs of " + task + " at " + atMs);
     }
     lastStart.put(task, atMs);
-    availability.started(task);
+    availability.started(task, atMs);
     if (noted.contains(task)) {
       broken.add("a start of " + task + " after its end was noted at " + atMs);
     }
