--- a/core/src/test/java/dev/toucanstall/core/plan/GrownSizeTest.java
+++ b/core/src/test/java/dev/toucanstall/core/plan/GrownSizeTest.java
@@ -27,6 +27,9 @@
   /** Time in which the largest entry instance is to plan, in milliseconds. */
   private static final long HAND_OVER_MS = 6_000;
 
+  /** How long a lasting task may be without a run while there is room, in milliseconds. */
+  private static final long ABSENT_MS = 3_000;
+
   private static final double LARGE = 0.75;
   private static final int LARGEST = 4;
   private static final int LARGER = 4;
@@ -56,6 +59,20 @@
     assertWithMessage("broken promises").that(site.world.backend.broken).isEmpty();
   }
 
+  // Guards against lasting tasks that wait for a planner that lags, though there is room: LOST.
+  @Test
+  @Tag("known-red")
+  void lastingTaskRunsAgainSoonWhileTheGroupNamesTheSmallestInstance() {
+    GrownSite site = site(1);
+    site.settle(SETTLE_MS);
+    site.wave(GrownSite.TURN_MS);
+    site.turns(2 * GrownSite.TURN_MS, 0);
+    site.world.run(TAIL_MS);
+    assertWithMessage("longest time without a run, ms, %s", site.summary())
+        .that(site.world.backend.availability.longestMs(site.world.nowMs()))
+        .isAtMost(ABSENT_MS);
+  }
+
   // Guards against a planner on the smallest instance while much larger ones stand by.
   @Test
   @Tag("known-red")
