--- a/core/src/test/java/dev/toucanstall/core/plan/NodeClients.java
+++ b/core/src/test/java/dev/toucanstall/core/plan/NodeClients.java
@@ -27,7 +27,7 @@
   private static final long REFUSED_RETRY_MS = 500;
 
   /** Least time that is left for another attempt, in milliseconds. */
-  private static final long LEAST_MS = 100;
+  private static final long LEAST_MS = 400;
 
   /** One call with its attempts. */
   final class Call {
--- a/core/src/test/java/dev/toucanstall/core/plan/NodeInstance.java
+++ b/core/src/test/java/dev/toucanstall/core/plan/NodeInstance.java
@@ -7,6 +7,7 @@
 import dev.toucanstall.core.node.NodeReducer;
 import dev.toucanstall.core.node.NodeViews;
 import java.util.ArrayDeque;
+import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -55,6 +56,10 @@
 
   final Map<String, Integer> notes = new HashMap<>();
 
+  private record Freeze(long fromMs, long untilMs) {}
+
+  private final List<Freeze> freezes = new ArrayList<>();
+
   private record Posted(NodeEvent event, long atMs) {}
 
   private final ArrayDeque<Posted> queue = new ArrayDeque<>();
@@ -306,6 +311,12 @@
 
   void freeze(long forMs) {
     frozenUntilMs = Math.max(frozenUntilMs, world.nowMs() + forMs);
+    freezes.add(new Freeze(world.nowMs(), world.nowMs() + forMs));
+  }
+
+  /** Tells whether the process stood still at any time of a span. */
+  boolean wasFrozen(long fromMs, long untilMs) {
+    return freezes.stream().anyMatch(f -> f.fromMs() < untilMs && f.untilMs() > fromMs);
   }
 
   /** SIGTERM, and SIGKILL after the grace time. */
