--- a/core/src/test/java/dev/toucanstall/core/node/NodeTest.java
+++ b/core/src/test/java/dev/toucanstall/core/node/NodeTest.java
@@ -338,7 +338,7 @@
     followOther(3);
     tell(new NodeEvent.PeerPonged(true, true));
     readCatalog(catalog(1, "key"));
-    tell(new NodeEvent.StopAsked());
+    tell(new NodeEvent.StopAsked(6_000));
     tell(new NodeEvent.PeerPonged(true, true));
     assertThat(effects).doesNotContain(new NodeEffect.Elect(3));
   }
--- a/core/src/test/java/dev/toucanstall/core/plan/NodeInstance.java
+++ b/core/src/test/java/dev/toucanstall/core/plan/NodeInstance.java
@@ -1,6 +1,7 @@
 package dev.toucanstall.core.plan;
 
 import dev.toucanstall.core.model.Address;
+import dev.toucanstall.core.model.InstanceSize;
 import dev.toucanstall.core.node.Node;
 import dev.toucanstall.core.node.NodeEffect;
 import dev.toucanstall.core.node.NodeEvent;
@@ -79,7 +80,7 @@
     this.name = name;
     this.address = address;
     this.cores = cores;
-    this.node = new Node(name);
+    this.node = new Node(name, new InstanceSize(cores, 0, 0));
     this.planner = new NodeLink(world, this);
     world.at(0, this::tick);
     world.at(0, this::join);
@@ -175,7 +176,7 @@
               new NodeEvent.PeerAnswered(address, answer.number(), answer.answer()),
               true);
       case NodeEffect.AnswerPing answer ->
-          reply(answer.link(), new NodeEvent.PeerPonged(answer.plans()), false);
+          reply(answer.link(), new NodeEvent.PeerPonged(answer.plans(), answer.yields()), false);
       case NodeEffect.DeclinePeer decline ->
           reply(
               decline.link(),
@@ -193,6 +194,9 @@
       case NodeEffect.HurryGroup hurry -> hurried = hurry.soon();
       case NodeEffect.LeaveGroup leave -> leaveGroup();
       case NodeEffect.SetReady set -> ready = set.ready();
+      case NodeEffect.EndConnections end -> {
+        // Clients here send each request on a connection that stays open until the process is gone.
+      }
       case NodeEffect.Exit exit -> world.at(CLOSE_MS, this::end);
       case NodeEffect.Note note -> {
         notes.merge(note.event(), 1, Integer::sum);
@@ -322,7 +326,7 @@
   /** SIGTERM, and SIGKILL after the grace time. */
   void stop(long graceMs) {
     stopping = true;
-    post(new NodeEvent.StopAsked());
+    post(new NodeEvent.StopAsked(graceMs));
     world.at(graceMs, this::end);
   }
 
--- a/core/src/test/java/dev/toucanstall/core/plan/NodeLink.java
+++ b/core/src/test/java/dev/toucanstall/core/plan/NodeLink.java
@@ -54,15 +54,27 @@
         return;
       }
       asking--;
-      if (open) {
-        planner.post(event);
+      if (!open) {
+        return;
+      }
+      if (event instanceof NodeEvent.PeerPinged && !planner.frozen()) {
+        world.at(world.hopMs(), this::heard);
+      }
+      planner.post(event);
+    }
+
+    /** The other end's link thread answers a ping, however busy its control thread is. */
+    private void heard() {
+      if (world.touches(owner, planner)) {
+        heardMs = world.nowMs();
       }
     }
 
-    /** Queues a message from the planner; it is dropped if too many wait. */
+    /** Queues a message from the planner; a link that does not take it ends. */
     void answer(NodeEvent event, boolean droppable) {
       if (!open || answering >= QUEUE_LENGTH || (droppable && world.drops())) {
         world.dropped++;
+        end("a message was not taken");
         return;
       }
       answering++;
@@ -85,7 +97,7 @@
 
     private void ping() {
       if (open) {
-        ask(new NodeEvent.PeerPinged(number));
+        ask(new NodeEvent.PeerPinged(number, owner.ready ? owner.cores : 0));
         world.at(PING_MS, this::ping);
       }
     }
@@ -142,12 +154,11 @@
 
   void ask(Address to, long ticket, JobCall call) {
     Connection current = connection;
-    boolean sent =
-        to.equals(target)
-            && current != null
-            && current.ask(new NodeEvent.PeerAsked(current.number, ticket, call));
-    if (!sent) {
-      owner.post(new NodeEvent.PeerDeclined(to, ticket, false));
+    if (!to.equals(target) || current == null) {
+      owner.post(new NodeEvent.AskUnsent(to, ticket));
+    } else if (!current.ask(new NodeEvent.PeerAsked(current.number, ticket, call))) {
+      owner.post(new NodeEvent.AskUnsent(to, ticket));
+      current.end("a message was not taken");
     }
   }
 
