Let a wave that is not late wait for the surge of a pool

Cause: a sixth of a busy pool's machines may be away, whether or not the pool is short of machines. Change: while a pool had fewer machines than it needs at the last look, a wave empties none of them, until the wave would be late. Evidence: `PlanTest.waveThatIsNotLateWaitsForTheSurge` failed before; the wave is completed in the test.

--- a/core/src/main/java/dev/toucanstall/core/plan/Maintenance.java
+++ b/core/src/main/java/dev/toucanstall/core/plan/Maintenance.java
@@ -207,7 +207,8 @@
       if (wave.away(plan.machines.listed) >= wave.order.parallel()) {
         return;
       }
-      if (poolAllows(plan, machine, late)) {
+      boolean spares = late || !plan.moves.shortServices.contains(machine.service());
+      if (spares && poolAllows(plan, machine, late)) {
         empty(plan, wave, machine, now);
       }
     }
--- a/core/src/main/java/dev/toucanstall/core/plan/Moves.java
+++ b/core/src/main/java/dev/toucanstall/core/plan/Moves.java
@@ -57,6 +57,9 @@
   private final Map<String, Arrival> arriving = new LinkedHashMap<>();
   private final Set<Fit> unfit = new HashSet<>();
 
+  /** Services whose pools had fewer machines than they need at the last look. */
+  Set<String> shortServices = Set.of();
+
   /** Earliest time of the next look at the pools. */
   long nextLookMs;
 
--- a/core/src/main/java/dev/toucanstall/core/plan/PoolMoves.java
+++ b/core/src/main/java/dev/toucanstall/core/plan/PoolMoves.java
@@ -64,6 +64,8 @@
       return;
     }
     List<Pool> pools = pools(plan, now);
+    plan.moves.shortServices =
+        pools.stream().filter(p -> p.surplus() < 0).map(p -> p.service).collect(Collectors.toSet());
     if (wantsList(plan, pools)) {
       plan.machines.ask(plan, now);
     }
--- a/core/src/test/java/dev/toucanstall/core/plan/PlanTest.java
+++ b/core/src/test/java/dev/toucanstall/core/plan/PlanTest.java
@@ -270,6 +270,29 @@
     assertThat(runningOf(world, "j")).isEqualTo(4);
   }
 
+  /** Guards against a wave that takes machines from a pool that is short of them in a surge. */
+  @Test
+  void waveThatIsNotLateWaitsForTheSurge() {
+    PlanWorld world = elected("w1", "w2", "w3", "w4", "w5", "w6", "w7", "w8");
+    world.weight = 100;
+    world.elect();
+    world.run(500);
+    for (int i = 0; i < 20; i++) {
+      world.submit("j" + i, PlanWorld.step(20, 1_000));
+    }
+    world.run(100);
+    order(world, "w1", "w2");
+    world.run(500);
+    assertThat(world.seen.stream().filter(PlanTest::isEmptying)).isEmpty();
+    world.run(18_000);
+    assertThat(world.maintained).containsExactly("m-w1", "m-w2");
+    assertThat(world.broken).isEmpty();
+  }
+
+  private static boolean isEmptying(PlanEffect effect) {
+    return effect instanceof PlanEffect.Note note && note.event().equals("machine-emptying");
+  }
+
   @Test
   void nextPlannerCountsMachinesThatAreDown() {
     PlanWorld world = new PlanWorld(1);
