Count the rise of a surge once more, for the machines that come in seconds

Callers saw late work in the first seconds of each surge: machines list themselves 2.5 s after they are ordered, and are ordered for what has come, not for what will have come by then. Change: a second mean that forgets within 0.4 s shows whether a surge rises; the rise counts twice.

--- a/core/src/main/java/dev/toucanstall/core/plan/Arrivals.java
+++ b/core/src/main/java/dev/toucanstall/core/plan/Arrivals.java
@@ -14,17 +14,37 @@
 
   private static final long LONGEST_MEMORY_MS = 1_000;
 
+  /** The same of a second mean, which shows whether a surge rises, in milliseconds. */
+  private static final long QUICK_MEMORY_MS = 400;
+
   /** Weight of a job's length in the mean of the lengths. */
   private static final double SHARE = 0.2;
 
   private record Sum(Load work, double memoryMs, long atMs) {
 
+    Sum plus(Load more, double memory, long nowMs) {
+      return new Sum(workAt(nowMs).plus(more), memory, nowMs);
+    }
+
     Load workAt(long nowMs) {
       return work.times(Math.exp((atMs - nowMs) / memoryMs));
     }
+
+    Load rate(long nowMs) {
+      return workAt(nowMs).times(1 / memoryMs);
+    }
   }
 
-  private final Map<String, Sum> sums = new HashMap<>();
+  /** The mean and the quicker one. */
+  private record Means(Sum mean, Sum quick) {
+
+    static Means none(double memoryMs, long nowMs) {
+      return new Means(
+          new Sum(Load.NONE, memoryMs, nowMs), new Sum(Load.NONE, QUICK_MEMORY_MS, nowMs));
+    }
+  }
+
+  private final Map<String, Means> means = new HashMap<>();
 
   /**
    * Counts a job.
@@ -34,19 +54,28 @@
    */
   void add(String service, Load work, long chainMs, long nowMs) {
     double memory = Math.clamp(chainMs, SHORTEST_MEMORY_MS, LONGEST_MEMORY_MS);
-    Sum before = sums.getOrDefault(service, new Sum(Load.NONE, memory, nowMs));
-    double mean = before.memoryMs + SHARE * (memory - before.memoryMs);
-    sums.put(service, new Sum(before.workAt(nowMs).plus(work), mean, nowMs));
+    Means before = means.getOrDefault(service, Means.none(memory, nowMs));
+    double length = before.mean.memoryMs + SHARE * (memory - before.mean.memoryMs);
+    means.put(
+        service,
+        new Means(
+            before.mean.plus(work, length, nowMs),
+            before.quick.plus(work, QUICK_MEMORY_MS, nowMs)));
   }
 
   /** Tells whether a service has been asked for any work. */
   boolean any(String service) {
-    return sums.containsKey(service);
+    return means.containsKey(service);
   }
 
-  /** Returns what must be at work all the time to keep up with what arrives. */
+  /**
+   * Returns what must be at work all the time to keep up with what arrives. While a surge rises it
+   * goes on rising until the machines come that are ordered now, so the rise counts once more.
+   */
   Load rate(String service, long nowMs) {
-    Sum sum = sums.getOrDefault(service, new Sum(Load.NONE, SHORTEST_MEMORY_MS, nowMs));
-    return sum.workAt(nowMs).times(1 / sum.memoryMs);
+    Means both = means.getOrDefault(service, Means.none(SHORTEST_MEMORY_MS, nowMs));
+    Load mean = both.mean.rate(nowMs);
+    Load quick = both.quick.rate(nowMs);
+    return mean.atLeast(quick.times(2).plus(mean.times(-1)));
   }
 }
--- a/core/src/main/java/dev/toucanstall/core/plan/Load.java
+++ b/core/src/main/java/dev/toucanstall/core/plan/Load.java
@@ -24,6 +24,11 @@
     return new Load(cpu * factor, memory * factor);
   }
 
+  /** Returns the larger of each part. */
+  Load atLeast(Load other) {
+    return new Load(Math.max(cpu, other.cpu), Math.max(memory, other.memory));
+  }
+
   /** Returns how many machines of a size hold this amount, by what there is least of. */
   double machines(Resources size) {
     return Math.max(part(cpu, size.cpu()), part(memory, size.memory()));
--- a/core/src/test/java/dev/toucanstall/core/plan/ArrivalsTest.java
+++ b/core/src/test/java/dev/toucanstall/core/plan/ArrivalsTest.java
@@ -29,4 +29,25 @@
     }
     assertThat(arrivals.rate(SERVICE, 7_000).cpu()).isAtMost(2);
   }
+
+  /** Guards against machines ordered for the half of a rising surge that a mean shows. */
+  @Test
+  void surgeThatRisesIsSeenAtThreeQuartersOfItsHeight() {
+    Arrivals arrivals = new Arrivals();
+    int jobs = 0;
+    for (long at = 0; at < 1_000; at += 100) {
+      jobs++;
+      arrivals.add(SERVICE, new Load(1_000 * jobs, 0), JOB_MS, at);
+    }
+    assertThat(arrivals.rate(SERVICE, 1_000).cpu()).isAtLeast(7.5 * jobs);
+  }
+
+  @Test
+  void evenLoadAsksForWhatComes() {
+    Arrivals arrivals = new Arrivals();
+    for (long at = 0; at < 10_000; at += 20) {
+      arrivals.add(SERVICE, new Load(200, 0), JOB_MS, at);
+    }
+    assertThat(arrivals.rate(SERVICE, 10_000).cpu()).isWithin(1).of(10);
+  }
 }
