Say of a call without an answer whom it asked, when, and whether the link was up

Callers saw 503 and 504; `call-expired` named the call and its queue, `call-refused` for want of a planner named the call alone, `message-dropped` a link's number. Which planner had been asked, and how long ago, was not known. Change: both lines tell account, number, age, whom this instance asked last and how long ago, whether that planner is lost, whether it planned itself, the planner it knows and whether the link is up. `planner-unreachable` tells how long nothing was heard and how many calls wait. `message-dropped` tells the number that `call-expired` has on the other side; `link-taken` tells whose link it was. No decision changes.

--- a/core/src/main/java/dev/toucanstall/core/node/Delivery.java
+++ b/core/src/main/java/dev/toucanstall/core/node/Delivery.java
@@ -27,18 +27,18 @@
 
   static void deliver(Node node, long ticket, JobCall call, long waitMs, Now now) {
     long wait = Math.clamp(waitMs - WAY_BACK_MS, SHORTEST_WAIT_MS, LONGEST_WAIT_MS);
-    Pending pending = new Pending(call, now.steadyMs() + wait);
+    Pending pending = new Pending(call, now.steadyMs(), now.steadyMs() + wait);
     pending.waitUntilMs = now.steadyMs() + NEXT_PLANNER_MS;
     if (node.plan == null && node.leader == null) {
-      refuse(node, ticket, call);
+      refuse(node, ticket, pending, now);
       return;
     }
     node.pending.put(ticket, pending);
     send(node, ticket, pending, now);
   }
 
-  private static void refuse(Node node, long ticket, JobCall call) {
-    node.note("call-refused", "call", name(call), "reason", Reason.NO_PLANNER.name());
+  private static void refuse(Node node, long ticket, Pending pending, Now now) {
+    noteEnd(node, "call-refused", ticket, pending, now);
     node.emit(
         new NodeEffect.Answer(
             ticket, new JobAnswer.Refused(Reason.NO_PLANNER, Admission.RETRY_AFTER_MS)));
@@ -50,7 +50,7 @@
       pending.planned = true;
       Terms.tell(node, new PlanEvent.Called(ticket, pending.call), now);
     } else if (leader != null && node.leaderReachable) {
-      pending.asked = leader.address();
+      pending.ask(leader.address(), now.steadyMs());
       node.emit(new NodeEffect.AskPeer(leader.address(), ticket, pending.call));
     }
   }
@@ -113,16 +113,32 @@
     if (leader != null && leader.address().equals(address) && !node.leaderReachable) {
       node.note("planner-reachable", "planner", leader.member());
       node.leaderReachable = true;
+      node.leaderHeardMs = now.steadyMs();
       node.linking = false;
       sendWaiting(node, now);
     }
   }
 
-  static void linkDown(Node node, NodeEvent.LinkDown down) {
+  /** Takes note of what the planner says of itself. */
+  static void ponged(Node node, NodeEvent.PeerPonged ponged, Now now) {
+    node.leaderPlans = ponged.plans();
+    node.leaderHeardMs = now.steadyMs();
+  }
+
+  static void linkDown(Node node, NodeEvent.LinkDown down, Now now) {
     Leader leader = node.leader;
     if (leader != null && leader.address().equals(down.address())) {
       if (node.leaderReachable || node.linking) {
-        node.note("planner-unreachable", "planner", leader.member(), "why", down.why());
+        node.note(
+            "planner-unreachable",
+            "planner",
+            leader.member(),
+            "why",
+            down.why(),
+            "silent-ms",
+            Long.toString(now.steadyMs() - node.leaderHeardMs),
+            "waiting-calls",
+            Integer.toString(node.pending.size()));
       }
       node.leaderReachable = false;
       node.leaderPlans = false;
@@ -140,7 +156,7 @@
         .forEach(
             e -> {
               node.pending.remove(e.getKey());
-              refuse(node, e.getKey(), e.getValue().call);
+              refuse(node, e.getKey(), e.getValue(), now);
             });
   }
 
@@ -154,8 +170,7 @@
             .toList();
     for (Map.Entry<Long, Pending> entry : late) {
       node.pending.remove(entry.getKey());
-      JobCall call = entry.getValue().call;
-      node.note("call-expired", "call", name(call), "queue", call.queue());
+      noteEnd(node, "call-expired", entry.getKey(), entry.getValue(), now);
       node.emit(
           new NodeEffect.Answer(
               entry.getKey(),
@@ -165,6 +180,38 @@
     }
   }
 
+  /** Notes the end of a call that no planner answered, with all that was known of planners. */
+  private static void noteEnd(Node node, String event, long ticket, Pending pending, Now now) {
+    Leader leader = node.leader;
+    Address asked = pending.lastAsked;
+    node.note(
+        event,
+        "call",
+        name(pending.call),
+        "queue",
+        pending.call.queue(),
+        "account",
+        pending.call instanceof JobCall.Submit submit ? submit.account() : "",
+        "reason",
+        Reason.NO_PLANNER.name(),
+        "number",
+        Long.toString(ticket),
+        "age-ms",
+        Long.toString(now.steadyMs() - pending.sinceMs),
+        "asked",
+        asked == null ? "" : asked.toString(),
+        "asked-ago-ms",
+        asked == null ? "" : Long.toString(now.steadyMs() - pending.lastAskedMs),
+        "lost",
+        Boolean.toString(pending.taken),
+        "planned-here",
+        Boolean.toString(pending.planned),
+        "planner",
+        leader == null ? "" : leader.member(),
+        "link-up",
+        Boolean.toString(node.leaderReachable));
+  }
+
   private static String name(JobCall call) {
     return switch (call) {
       case JobCall.Submit submit -> "submit " + submit.job();
--- a/core/src/main/java/dev/toucanstall/core/node/Node.java
+++ b/core/src/main/java/dev/toucanstall/core/node/Node.java
@@ -43,6 +43,9 @@
   /** Whether the planner said lately that it plans and the store confirms it. */
   boolean leaderPlans;
 
+  /** When the planner was last heard, or the link to it made, steady milliseconds. */
+  long leaderHeardMs;
+
   /** Whether the group is asked more often for want of a planner. */
   boolean hurried = true;
 
--- a/core/src/main/java/dev/toucanstall/core/node/NodeReducer.java
+++ b/core/src/main/java/dev/toucanstall/core/node/NodeReducer.java
@@ -28,11 +28,11 @@
       case NodeEvent.PeerAsked asked -> Delivery.asked(node, asked, now);
       case NodeEvent.PeerPinged pinged ->
           node.emit(new NodeEffect.AnswerPing(pinged.link(), Terms.plansWell(node, now)));
-      case NodeEvent.PeerPonged ponged -> node.leaderPlans = ponged.plans();
+      case NodeEvent.PeerPonged ponged -> Delivery.ponged(node, ponged, now);
       case NodeEvent.PeerAnswered answered -> Delivery.peerAnswered(node, answered);
       case NodeEvent.PeerDeclined declined -> Delivery.declined(node, declined, now);
       case NodeEvent.LinkUp up -> Delivery.linkUp(node, up.address(), now);
-      case NodeEvent.LinkDown down -> Delivery.linkDown(node, down);
+      case NodeEvent.LinkDown down -> Delivery.linkDown(node, down, now);
       case NodeEvent.CatalogRead read -> FreshnessRules.read(node, read, now);
       case NodeEvent.WaveRead read -> Terms.waveRead(node, read.order(), now);
       case NodeEvent.LeaderRead read -> Terms.leaderRead(node, read.leader(), now);
--- a/core/src/main/java/dev/toucanstall/core/node/Pending.java
+++ b/core/src/main/java/dev/toucanstall/core/node/Pending.java
@@ -8,11 +8,20 @@
 final class Pending {
 
   final JobCall call;
+
+  /** When it came, steady milliseconds. */
+  final long sinceMs;
+
   final long deadlineMs;
 
   /** Whom it was asked last, null if it waits for a planner. */
   @Nullable Address asked;
 
+  /** Who was asked last and when, steady milliseconds, also if that planner is lost since. */
+  @Nullable Address lastAsked;
+
+  long lastAskedMs;
+
   /** Whether it is at this entry instance's own planner. */
   boolean planned;
 
@@ -22,11 +31,19 @@
   /** Until when it waits for a planner that none has been asked. */
   long waitUntilMs;
 
-  Pending(JobCall call, long deadlineMs) {
+  Pending(JobCall call, long sinceMs, long deadlineMs) {
     this.call = call;
+    this.sinceMs = sinceMs;
     this.deadlineMs = deadlineMs;
   }
 
+  /** Takes note that a planner is asked. */
+  void ask(Address planner, long nowMs) {
+    asked = planner;
+    lastAsked = planner;
+    lastAskedMs = nowMs;
+  }
+
   /** The planner that was asked is lost; what it did is unknown. */
   void lose() {
     asked = null;
--- a/core/src/test/java/dev/toucanstall/core/node/NodeTest.java
+++ b/core/src/test/java/dev/toucanstall/core/node/NodeTest.java
@@ -247,6 +247,50 @@
         .orElseThrow();
   }
 
+  /** Guards against calls that expire at the planner with no line that says who was asked when. */
+  @Test
+  void callThatExpiresTellsWhoWasAskedAndHowLongAgo() {
+    readCatalog(catalog(1, "key"));
+    followOther(1);
+    submit(7);
+    pass(3_000);
+    assertThat(noted("call-expired")).containsEntry("call", "submit " + JOB);
+    assertThat(noted("call-expired")).containsEntry("account", "a");
+    assertThat(noted("call-expired")).containsEntry("number", "7");
+    assertThat(noted("call-expired")).containsEntry("age-ms", "3000");
+    assertThat(noted("call-expired")).containsEntry("asked", OTHER.toString());
+    assertThat(noted("call-expired")).containsEntry("asked-ago-ms", "3000");
+    assertThat(noted("call-expired")).containsEntry("planner", "n2");
+    assertThat(noted("call-expired")).containsEntry("link-up", "true");
+  }
+
+  /** Guards against refusals for want of a planner with no line that says for how long. */
+  @Test
+  void callRefusedForWantOfPlannerTellsItsAge() {
+    readCatalog(catalog(1, "key"));
+    followOther(1);
+    tell(new NodeEvent.LinkDown(OTHER, "gone"));
+    submit(7);
+    pass(800);
+    assertThat(noted("call-refused")).containsEntry("age-ms", "800");
+    assertThat(noted("call-refused")).containsEntry("asked", "");
+    assertThat(noted("call-refused")).containsEntry("link-up", "false");
+  }
+
+  /** Guards against a planner given up with no line that says how long it was silent. */
+  @Test
+  void plannerThatIsUnreachableIsToldWithItsSilence() {
+    readCatalog(catalog(1, "key"));
+    followOther(1);
+    tell(new NodeEvent.PeerPonged(true));
+    submit(1);
+    pass(900);
+    tell(new NodeEvent.LinkDown(OTHER, "Read timed out"));
+    assertThat(noted("planner-unreachable"))
+        .containsExactly(
+            "planner", "n2", "why", "Read timed out", "silent-ms", "900", "waiting-calls", "1");
+  }
+
   /** Guards against a planner on too small an instance that no line tells of. */
   @Test
   void electedPlannerTellsTheSizeOfItsInstance() {
--- a/entry/src/main/java/dev/toucanstall/entry/node/PlannerServer.java
+++ b/entry/src/main/java/dev/toucanstall/entry/node/PlannerServer.java
@@ -59,6 +59,10 @@
       socket.setSoTimeout(SILENT_MILLIS);
       FrameLink link = new FrameLink(socket);
       links.put(number, link);
+      LogLine.of("link-taken")
+          .with("link", number)
+          .with("from", socket.getRemoteSocketAddress())
+          .info(LOG);
       link.run(frame -> receive(number, frame));
     } catch (IOException e) {
       LogLine.of("link-failed").with("why", e).warn(LOG);
@@ -91,10 +95,25 @@
   void send(long number, NodeMessage message) {
     FrameLink link = links.get(number);
     if (link == null || !link.offer(JobCodec.MESSAGES.encode(message))) {
-      LogLine.of("message-dropped").with("link", number).info(LOG);
+      LogLine.of("message-dropped")
+          .with("link", number)
+          .with("message", message.getClass().getSimpleName())
+          .with("number", number(message))
+          .info(LOG);
     }
   }
 
+  /** Returns the number under which the call was asked, as {@code call-expired} there has it. */
+  private static String number(NodeMessage message) {
+    return switch (message) {
+      case NodeMessage.Reply reply -> Long.toString(reply.number());
+      case NodeMessage.NotPlanner declined -> Long.toString(declined.number());
+      case NodeMessage.Ask ask -> Long.toString(ask.number());
+      case NodeMessage.Ping ping -> "";
+      case NodeMessage.Pong pong -> "";
+    };
+  }
+
   @Override
   public void close() throws IOException {
     closed = true;
