Tell answers of outgoing calls without handing them to other threads

Callers saw: on the grown deployments calls expired at the planner, whose process used five times the processor time of the others.

Cause: most of that is spent around the reducer: some 900 starts and renewals a second cost 340 to 420 us of processor time each, against 37 us a decision. Of these, 190 to 230 us went to virtual threads and the pool that hands them each answer, though what an answer sets off never blocks.

--- a/runtime/src/main/java/dev/toucanstall/runtime/http/AsyncCalls.java
+++ b/runtime/src/main/java/dev/toucanstall/runtime/http/AsyncCalls.java
@@ -12,9 +12,14 @@
 import org.eclipse.jetty.client.BufferingResponseListener;
 import org.eclipse.jetty.client.ByteBufferRequestContent;
 import org.eclipse.jetty.client.HttpClient;
+import org.eclipse.jetty.client.HttpClientTransport;
 import org.eclipse.jetty.client.Request;
 import org.eclipse.jetty.client.Result;
+import org.eclipse.jetty.client.transport.HttpClientTransportOverHTTP;
 import org.eclipse.jetty.http.HttpHeader;
+import org.eclipse.jetty.io.ClientConnector;
+import org.eclipse.jetty.util.thread.Invocable;
+import org.eclipse.jetty.util.thread.QueuedThreadPool;
 import org.jspecify.annotations.Nullable;
 
 /** Sends whole HTTP requests without blocking and tells what became of them. Thread-safe. */
@@ -24,6 +29,8 @@
   private static final long CONNECT_MILLIS = 500;
   private static final long IDLE_MILLIS = 60_000;
   private static final int MAX_QUEUED = 4_096;
+  private static final int MAX_THREADS = 8;
+  private static final int MIN_THREADS = 2;
 
   private final HttpClient client;
 
@@ -34,8 +41,8 @@
    * @param connections most connections to one address
    */
   public AsyncCalls(String name, int connections) {
-    client = new HttpClient();
-    client.setExecutor(HttpServers.threads(name));
+    client = new HttpClient(transport());
+    client.setExecutor(threads(name));
     client.setFollowRedirects(false);
     client.setConnectTimeout(CONNECT_MILLIS);
     client.setIdleTimeout(IDLE_MILLIS);
@@ -50,6 +57,21 @@
     }
   }
 
+  /** Answers are read and told by the thread that waits for them, as what is told never blocks. */
+  private static HttpClientTransport transport() {
+    ClientConnector connector = new ClientConnector();
+    connector.setSelectors(1);
+    HttpClientTransport transport = new HttpClientTransportOverHTTP(connector);
+    transport.setInvocationType(Invocable.InvocationType.NON_BLOCKING);
+    return transport;
+  }
+
+  private static QueuedThreadPool threads(String name) {
+    QueuedThreadPool threads = new QueuedThreadPool(MAX_THREADS, MIN_THREADS);
+    threads.setName(name);
+    return threads;
+  }
+
   /**
    * A request.
    *
