--- a/core/src/main/java/dev/toucanstall/core/node/Node.java
+++ b/core/src/main/java/dev/toucanstall/core/node/Node.java
@@ -50,8 +50,8 @@
   /** Until when a planner that was just named or linked to may not have said whether it plans. */
   long leaderUnheardUntilMs;
 
-  /** When it last said whether it plans. */
-  long leaderToldMs;
+  /** When the planner was last heard, or the link to it made, steady milliseconds. */
+  long leaderHeardMs;
 
   /** Whether the group is asked more often for want of a planner. */
   boolean hurried = true;
--- a/core/src/main/java/dev/toucanstall/core/node/NodeReducer.java
+++ b/core/src/main/java/dev/toucanstall/core/node/NodeReducer.java
@@ -32,7 +32,7 @@
       case NodeEvent.PeerDeclined declined -> Delivery.declined(node, declined, now);
       case NodeEvent.AskUnsent unsent -> Delivery.unsent(node, unsent);
       case NodeEvent.LinkUp up -> Delivery.linkUp(node, up.address(), now);
-      case NodeEvent.LinkDown down -> Delivery.linkDown(node, down);
+      case NodeEvent.LinkDown down -> Delivery.linkDown(node, down, now);
       case NodeEvent.CatalogRead read -> FreshnessRules.read(node, read, now);
       case NodeEvent.WaveRead read -> Terms.waveRead(node, read.order(), now);
       case NodeEvent.LeaderRead read -> Terms.leaderRead(node, read.leader(), now);
--- a/core/src/main/java/dev/toucanstall/core/node/Terms.java
+++ b/core/src/main/java/dev/toucanstall/core/node/Terms.java
@@ -70,7 +70,7 @@
 
   static void ponged(Node node, NodeEvent.PeerPonged ponged, Now now) {
     node.leaderPlans = ponged.plans();
-    node.leaderToldMs = now.steadyMs();
+    node.leaderHeardMs = now.steadyMs();
     node.leaderUnheardUntilMs = 0;
     if (ponged.yields() && node.plan == null) {
       elect(node, "a smaller instance plans", now);
@@ -82,7 +82,7 @@
    * linked to gets time to say so.
    */
   private static boolean planned(Node node, Now now) {
-    boolean told = node.leaderPlans && now.steadyMs() - node.leaderToldMs <= TOLD_MS;
+    boolean told = node.leaderPlans && now.steadyMs() - node.leaderHeardMs <= TOLD_MS;
     return node.plan != null
         || now.steadyMs() < node.leaderUnheardUntilMs
         || (node.leaderReachable && told);
