Let a new planner use the services that the configuration names

A job whose queue was routed to another service ran, or waited, on the former one once the planner had changed, as hand-overs make frequent. Cause: jobs are restored with the service of their submission, and routes were applied to open jobs only when a newer version came. Change: the configuration is applied to the restored jobs. Test: nextPlannerUsesServiceThatConfigurationNames, failed before (pending for ever).

--- a/core/src/main/java/dev/toucanstall/core/plan/Plan.java
+++ b/core/src/main/java/dev/toucanstall/core/plan/Plan.java
@@ -81,6 +81,7 @@
     this.ledger = new Ledger(epoch, firstSequence, now.steadyMs());
     this.tookOverMs = now.steadyMs();
     Recovery.restore(this, records, now);
+    JobRules.catalogChanged(this, catalog);
   }
 
   /**
--- a/core/src/test/java/dev/toucanstall/core/plan/PlanTest.java
+++ b/core/src/test/java/dev/toucanstall/core/plan/PlanTest.java
@@ -2,14 +2,18 @@
 
 import static com.google.common.truth.Truth.assertThat;
 
+import dev.toucanstall.core.job.Account;
+import dev.toucanstall.core.job.Catalog;
 import dev.toucanstall.core.job.JobAnswer;
 import dev.toucanstall.core.job.JobCall;
 import dev.toucanstall.core.job.JobPhase;
 import dev.toucanstall.core.job.JobSpec;
+import dev.toucanstall.core.job.Queue;
 import dev.toucanstall.core.job.Resources;
 import dev.toucanstall.core.job.WaveOrder;
 import java.util.List;
 import java.util.Objects;
+import java.util.Set;
 import java.util.stream.IntStream;
 import java.util.stream.Stream;
 import org.junit.jupiter.api.Test;
@@ -588,4 +592,22 @@
     assertThat(server.running).isEmpty();
     assertThat(Objects.requireNonNull(world.planner).plan.openJobs()).isEqualTo(0);
   }
+
+  /** Guards against a job whose queue moved to another service before the planner changed. */
+  @Test
+  void nextPlannerUsesServiceThatConfigurationNames() {
+    PlanWorld world = new PlanWorld(1);
+    world.server("t1", PlanWorld.OTHER_SERVICE, 10_000);
+    world.elect();
+    world.run(200);
+    world.submit("j", PlanWorld.step(1, 1_000));
+    world.run(200);
+    Queue moved =
+        new Queue(PlanWorld.QUEUE, "h", "/q/", PlanWorld.OTHER_SERVICE, 0, 3, 2, 600, false, false);
+    Account account = new Account(PlanWorld.ACCOUNT, Set.of("key"), 1, Resources.NONE);
+    world.catalogs = () -> Catalog.of(2, List.of(moved), List.of(account), Set.of());
+    world.elect();
+    world.run(1_500);
+    assertThat(show(world, "j")).isEqualTo(new JobAnswer.Shown(JobPhase.COMPLETED));
+  }
 }
