Decide anew after a change of planners whether a lasting task is stopped

Cause: a stop that was stored is sent by the next planner as soon as a list shows the run, at the moment when most others of the step may be away, without asking whether it is still allowed. Change: a lasting task of an open job that was being stopped is restored as running; the lists show whether the stop was carried out, and the new fencing token keeps a late one of the predecessor out. Test: nextPlannerDecidesAnewWhetherLastingTaskIsStopped; it also passed before, as the model's stop reached the backend server in no order that shows the fault, so the fault is suspected, not shown.

--- a/core/src/main/java/dev/toucanstall/core/plan/Recovery.java
+++ b/core/src/main/java/dev/toucanstall/core/plan/Recovery.java
@@ -6,6 +6,7 @@
 import dev.toucanstall.core.job.Resources;
 import dev.toucanstall.core.job.ServerEntry;
 import dev.toucanstall.core.job.TaskKey;
+import dev.toucanstall.core.job.TaskPhase;
 import dev.toucanstall.core.model.Address;
 import java.util.List;
 import java.util.Set;
@@ -70,7 +71,7 @@
     task.run = line.run();
     task.failures = line.failures();
     task.saved = line.saved();
-    task.turn(line.phase());
+    task.turn(restored(task, line.phase()));
     if (!task.phase.bound()) {
       return;
     }
@@ -80,6 +81,15 @@
     task.bind(plan.servers.computeIfAbsent(line.server(), id -> unseen(id, line, task, now)));
   }
 
+  /**
+   * Whether a lasting task may be stopped is decided anew: others of its step may be away by now.
+   * Its backend server's lists show whether the stop was carried out.
+   */
+  private static TaskPhase restored(Task task, TaskPhase stored) {
+    boolean lasts = task.step.lasting() && !task.job.phase.ended();
+    return lasts && stored == TaskPhase.STOPPING ? TaskPhase.RUNNING : stored;
+  }
+
   private static Address address(TaskProgress line) {
     return line.address().isEmpty() ? NOWHERE : Address.parse(line.address());
   }
--- a/core/src/test/java/dev/toucanstall/core/plan/PlanTest.java
+++ b/core/src/test/java/dev/toucanstall/core/plan/PlanTest.java
@@ -593,6 +593,23 @@
     assertThat(Objects.requireNonNull(world.planner).plan.openJobs()).isEqualTo(0);
   }
 
+  /** Guards against a stop that a new planner repeats though others of the step went away since. */
+  @Test
+  void nextPlannerDecidesAnewWhetherLastingTaskIsStopped() {
+    PlanWorld world = lastingTasksApart();
+    List<FakeServer> used = used(world);
+    final PlanWorld.Planner first = Objects.requireNonNull(world.planner);
+    used.getLast().reachable = false;
+    order(world, used.getLast().id);
+    world.run(100);
+    first.alive = false;
+    used.getFirst().crash();
+    used.getLast().reachable = true;
+    world.elect();
+    world.run(600);
+    assertThat(used.getLast().running).hasSize(1);
+  }
+
   /** Guards against a job whose queue moved to another service before the planner changed. */
   @Test
   void nextPlannerUsesServiceThatConfigurationNames() {
