Send no start of a lasting task for ever to a backend server that does not run it

Cause: while others of its step are away a start without an answer is sent again without a bound, though lists asked for later show that the backend server does not have the run. Change: it is stopped once such a list has come; that ends nothing at work and frees the task.

--- a/core/src/main/java/dev/toucanstall/core/plan/OrderRules.java
+++ b/core/src/main/java/dev/toucanstall/core/plan/OrderRules.java
@@ -177,14 +177,17 @@
   }
 
   /**
-   * A lasting task may be at work already, so its start goes on being sent while others are away.
+   * A lasting task may be at work already, so its start goes on being sent while others are away,
+   * until a list that was asked for after the last start lacks it.
    */
   private static void unanswered(Plan plan, Task task, Now now) {
     task.unanswered = true;
     if (task.phase != TaskPhase.ORDERED) {
       return;
     }
-    boolean kept = task.step.lasting() && !Evacuation.mayStop(task, now);
+    Server server = task.server;
+    boolean absent = server != null && server.listedMs > task.orderedMs;
+    boolean kept = task.step.lasting() && !absent && !Evacuation.mayStop(task, now);
     if (task.sends < MAX_SENDS || kept) {
       repeatOnceConfirmed(plan, task);
     } else {
