--- a/core/src/main/java/dev/toucanstall/core/plan/HoldRules.java
+++ b/core/src/main/java/dev/toucanstall/core/plan/HoldRules.java
@@ -60,18 +60,23 @@
       }
       case OrderResult.Rejected rejected when rejected.reason() == OrderResult.Reason.FENCED ->
           plan.emit(new PlanEffect.Resign("a backend server has seen a higher fencing token"));
-      case OrderResult.Rejected rejected -> server.holdAfterMs = now.steadyMs() + SILENT_PAUSE_MS;
-      case OrderResult.Unanswered unanswered -> {
-        if (server.silentSinceMs == 0) {
-          server.silentSinceMs = now.steadyMs();
-          ServerRules.noteServer(plan, "server-silent", server, "no answer to a lease renewal");
-        }
-        server.holdAfterMs = now.steadyMs() + SILENT_PAUSE_MS;
-      }
+      case OrderResult.Rejected rejected ->
+          notRenewed(plan, server, "refuses a lease renewal: " + rejected.reason(), now);
+      case OrderResult.Unanswered unanswered ->
+          notRenewed(plan, server, "no answer to a lease renewal", now);
       case OrderResult.Obeyed obeyed -> server.readClock(obeyed.clockMs(), now.steadyMs());
     }
   }
 
+  /** A backend server whose leases are not renewed gets no tasks, and loses those that it has. */
+  private static void notRenewed(Plan plan, Server server, String why, Now now) {
+    if (server.silentSinceMs == 0) {
+      server.silentSinceMs = now.steadyMs();
+      ServerRules.noteServer(plan, "server-silent", server, why);
+    }
+    server.holdAfterMs = now.steadyMs() + SILENT_PAUSE_MS;
+  }
+
   private static void listed(
       Plan plan, Server server, PlanEvent.Held held, HoldResult.Listed listed, Now now) {
     if (server.silentSinceMs > 0) {
--- a/core/src/main/java/dev/toucanstall/core/plan/Server.java
+++ b/core/src/main/java/dev/toucanstall/core/plan/Server.java
@@ -119,6 +119,11 @@
         .forEach(t -> t.settledMs = t.stopSent ? t.settledMs : nowMs);
   }
 
+  /** Tells whether ends that it has listed are not stored yet. */
+  boolean awaitsStore() {
+    return appliedEnds > storedEnds;
+  }
+
   /** The ends of a life up to a number are stored; another life has numbers of its own. */
   void endsStored(long bornMs, long upTo) {
     if (entry.bornMs() == bornMs) {
--- a/core/src/main/java/dev/toucanstall/core/plan/ServerRules.java
+++ b/core/src/main/java/dev/toucanstall/core/plan/ServerRules.java
@@ -15,6 +15,12 @@
   /** The same while a lasting task starts up, in milliseconds. */
   static final long SHORT_WAIT_MS = 400;
 
+  /**
+   * Leases are renewed after this time even if the ends that were listed last are not stored yet,
+   * in milliseconds.
+   */
+  private static final long LONGEST_REST_MS = 2_000;
+
   /** Refused connections for this long mean a dead process, in milliseconds. */
   private static final long REFUSING_MS = 80;
 
@@ -134,7 +140,8 @@
       if (wantsHold(server, now)) {
         hold(plan, server, now);
       }
-      if (server.silentSinceMs > 0 || (!server.holding && now.steadyMs() < server.holdAfterMs)) {
+      boolean rests = now.steadyMs() < server.holdAfterMs || server.awaitsStore();
+      if (server.silentSinceMs > 0 || (!server.holding && rests)) {
         server.look();
       }
     }
@@ -155,7 +162,7 @@
     if (server.holding || now.steadyMs() < server.holdAfterMs) {
       return false;
     }
-    if (server.appliedEnds > server.storedEnds) {
+    if (server.awaitsStore() && now.steadyMs() - server.holdSentMs < LONGEST_REST_MS) {
       return false;
     }
     return !server.known
