Replace a planner only on what the store and that planner itself say

Change: nobody elects itself before the store has told who plans; a pong counts from the named planner only; a link that broke gets 0.4 s for another; an election gives way to a later epoch, names its holder, and the loser follows it; a stopping planner asks its largest follower and says for an eighth of the grace time that it plans.

--- a/core/src/main/java/dev/toucanstall/core/node/Delivery.java
+++ b/core/src/main/java/dev/toucanstall/core/node/Delivery.java
@@ -123,7 +123,7 @@
       node.leaderReachable = true;
       node.leaderHeardMs = now.steadyMs();
       node.linking = false;
-      Terms.awaitLeader(node, now);
+      Terms.awaitFirstWord(node, now);
       sendWaiting(node, now);
     }
   }
@@ -144,9 +144,9 @@
             "waiting-calls",
             Integer.toString(node.pending.size()));
       }
+      Terms.linkLost(node, now);
       node.leaderReachable = false;
       node.leaderPlans = false;
-      node.leaderUnheardUntilMs = 0;
       node.linking = false;
     }
     node.pending.values().stream()
--- a/core/src/main/java/dev/toucanstall/core/node/Followers.java
+++ b/core/src/main/java/dev/toucanstall/core/node/Followers.java
@@ -60,12 +60,26 @@
     if (own.cores() <= 0) {
       return Optional.empty();
     }
+    return largest(nowMs).filter(link -> cores(link) >= MUCH_LARGER * own.cores());
+  }
+
+  /**
+   * Returns the link of the follower with the largest processor that is fit to plan.
+   *
+   * @param nowMs the time
+   * @return the link, or nothing if there is none
+   */
+  Optional<Long> largest(long nowMs) {
     return byLink.entrySet().stream()
         .filter(e -> nowMs - e.getValue().sinceMs >= SETTLE_MS)
-        .filter(e -> e.getValue().cores >= MUCH_LARGER * own.cores())
         .max(
             Comparator.<Map.Entry<Long, Follower>>comparingDouble(e -> e.getValue().cores)
                 .thenComparing(Map.Entry::getKey, Comparator.reverseOrder()))
         .map(Map.Entry::getKey);
   }
+
+  private double cores(long link) {
+    Follower follower = byLink.get(link);
+    return follower == null ? 0 : follower.cores;
+  }
 }
--- a/core/src/main/java/dev/toucanstall/core/node/Node.java
+++ b/core/src/main/java/dev/toucanstall/core/node/Node.java
@@ -47,6 +47,9 @@
   /** Whether the planner said lately that it plans and the store confirms it. */
   boolean leaderPlans;
 
+  /** Whether the store has told who plans, or that nobody does. */
+  boolean leaderAsked;
+
   /** Until when a planner that was just named or linked to may not have said whether it plans. */
   long leaderUnheardUntilMs;
 
--- a/core/src/main/java/dev/toucanstall/core/node/NodeEvent.java
+++ b/core/src/main/java/dev/toucanstall/core/node/NodeEvent.java
@@ -44,10 +44,11 @@
   /**
    * The entry instance that is followed has told whether it plans.
    *
+   * @param from the entry instance
    * @param plans whether it plans and the store has confirmed it lately
    * @param yields whether it wants this entry instance to plan instead
    */
-  record PeerPonged(boolean plans, boolean yields) implements NodeEvent {}
+  record PeerPonged(Address from, boolean plans, boolean yields) implements NodeEvent {}
 
   /**
    * An entry instance that was asked as the planner answered.
@@ -106,11 +107,11 @@
   record WaveRead(WaveOrder order) implements NodeEvent {}
 
   /**
-   * The store names the planner.
+   * The store was asked who plans and answered.
    *
-   * @param leader the planner
+   * @param leader the planner, null if the store names none
    */
-  record LeaderRead(Leader leader) implements NodeEvent {}
+  record LeaderRead(@Nullable Leader leader) implements NodeEvent {}
 
   /**
    * The group of entry instances has told whether this one should plan.
@@ -138,8 +139,9 @@
    * This entry instance has not become the planner.
    *
    * @param why what went wrong
+   * @param newest who holds a later epoch, null if none is known
    */
-  record NotElected(String why) implements NodeEvent {}
+  record NotElected(String why, @Nullable Leader newest) implements NodeEvent {}
 
   /**
    * Something for the planner.
--- a/core/src/main/java/dev/toucanstall/core/node/NodeMessage.java
+++ b/core/src/main/java/dev/toucanstall/core/node/NodeMessage.java
@@ -33,8 +33,7 @@
   /**
    * Asks whether the receiver plans.
    *
-   * @param processor what the sender's processor gives, in thousandths of a core; 0 if the sender
-   *     is not fit to plan
+   * @param cores the sender's processor time a second, in cores; 0 if it is not fit to plan
    */
   record Ping(double cores) implements NodeMessage {}
 
--- a/core/src/main/java/dev/toucanstall/core/node/NodeReducer.java
+++ b/core/src/main/java/dev/toucanstall/core/node/NodeReducer.java
@@ -38,7 +38,7 @@
       case NodeEvent.LeaderRead read -> Terms.leaderRead(node, read.leader(), now);
       case NodeEvent.Joined joined -> Terms.joined(node, joined.holder(), now);
       case NodeEvent.Elected elected -> Terms.elected(node, elected, now);
-      case NodeEvent.NotElected failed -> Terms.notElected(node, failed.why(), now);
+      case NodeEvent.NotElected failed -> Terms.notElected(node, failed, now);
       case NodeEvent.ForPlan forPlan -> Terms.tell(node, forPlan.epoch(), forPlan.event(), now);
       case NodeEvent.StopAsked stop -> Stopping.begin(node, stop.graceMs(), now);
     }
--- a/core/src/main/java/dev/toucanstall/core/node/Terms.java
+++ b/core/src/main/java/dev/toucanstall/core/node/Terms.java
@@ -8,6 +8,8 @@
 import dev.toucanstall.core.plan.PlanEvent;
 import dev.toucanstall.core.plan.PlanReducer;
 import java.util.List;
+import java.util.Optional;
+import org.jspecify.annotations.Nullable;
 
 /** Decides when this entry instance plans. */
 final class Terms {
@@ -27,6 +29,12 @@
    */
   private static final long UNHEARD_MS = 1_000;
 
+  /** How long the planner's first word on a new link may take, in milliseconds. */
+  private static final long FIRST_WORD_MS = 400;
+
+  /** How long another link may take after one broke, in milliseconds. */
+  private static final long RELINK_MS = 400;
+
   /** A planner that has not said for this long that it plans may be replaced, in milliseconds. */
   private static final long TOLD_MS = 2_000;
 
@@ -40,6 +48,7 @@
 
   private static void elect(Node node, String why, Now now) {
     if (node.electing
+        || !node.leaderAsked
         || node.stopping
         || node.catalog == null
         || now.steadyMs() < node.electAfterMs) {
@@ -53,22 +62,27 @@
 
   /**
    * Answers a follower. The group of entry instances names any of them as planner; one that is too
-   * small for it asks the largest to plan instead.
+   * small for it, or that stops, asks the largest to plan instead.
    */
   static void pinged(Node node, NodeEvent.PeerPinged pinged, Now now) {
     boolean yields = false;
     if (node.plan != null) {
       node.followers.pinged(pinged.link(), pinged.cores(), now.steadyMs());
-      yields =
-          node.followers
-              .better(node.size, now.steadyMs())
-              .filter(link -> link == pinged.link())
-              .isPresent();
+      Optional<Long> successor =
+          node.stopping
+              ? node.followers.largest(now.steadyMs())
+              : node.followers.better(node.size, now.steadyMs());
+      yields = successor.filter(link -> link == pinged.link()).isPresent();
     }
     node.emit(new NodeEffect.AnswerPing(pinged.link(), plansWell(node, now), yields));
   }
 
+  /** Takes the word of the planner that was named last; earlier ones tell nothing of it. */
   static void ponged(Node node, NodeEvent.PeerPonged ponged, Now now) {
+    Leader leader = node.leader;
+    if (leader == null || !leader.address().equals(ponged.from())) {
+      return;
+    }
     node.leaderPlans = ponged.plans();
     node.leaderHeardMs = now.steadyMs();
     node.leaderUnheardUntilMs = 0;
@@ -88,11 +102,21 @@
         || (node.leaderReachable && told);
   }
 
-  /** Gives the planner time to say whether it plans. */
-  static void awaitLeader(Node node, Now now) {
+  /** Gives a planner that is new time to say whether it plans. */
+  private static void awaitLeader(Node node, Now now) {
     node.leaderUnheardUntilMs = now.steadyMs() + UNHEARD_MS;
   }
 
+  /** Gives a planner whose link broke time for another one; one that takes no link gets none. */
+  static void linkLost(Node node, Now now) {
+    node.leaderUnheardUntilMs = node.leaderReachable ? now.steadyMs() + RELINK_MS : 0;
+  }
+
+  /** Gives the planner time for its first word on a new link. */
+  static void awaitFirstWord(Node node, Now now) {
+    node.leaderUnheardUntilMs = Math.max(node.leaderUnheardUntilMs, now.steadyMs() + FIRST_WORD_MS);
+  }
+
   static void updateHurry(Node node, Now now) {
     boolean hurried = !planned(node, now);
     if (hurried != node.hurried) {
@@ -103,13 +127,19 @@
 
   static boolean plansWell(Node node, Now now) {
     Plan plan = node.plan;
-    return plan != null && !node.stopping && now.steadyMs() - plan.confirmedMs() <= UNFIT_MS;
+    return plan != null
+        && now.steadyMs() < node.stopTimes.plansUntilMs()
+        && now.steadyMs() - plan.confirmedMs() <= UNFIT_MS;
   }
 
-  static void notElected(Node node, String why, Now now) {
+  /** Follows the instance that has a later epoch, if one is known, before it tries again. */
+  static void notElected(Node node, NodeEvent.NotElected failed, Now now) {
     node.electing = false;
     node.electAfterMs = now.steadyMs() + ELECT_PAUSE_MS;
-    node.note("election-failed", "why", why);
+    node.note("election-failed", "why", failed.why());
+    if (failed.newest() != null) {
+      leaderRead(node, failed.newest(), now);
+    }
   }
 
   static void elected(Node node, NodeEvent.Elected elected, Now now) {
@@ -119,6 +149,11 @@
       node.note("election-dropped", "why", "no configuration is known");
       return;
     }
+    Leader known = node.leader;
+    if (known != null && known.epoch() > elected.epoch()) {
+      node.note("election-dropped", "why", "planner " + known.member() + " has a higher epoch");
+      return;
+    }
     node.followers.clear();
     node.plan = new Plan(elected.epoch(), elected.firstSequence(), catalog, elected.records(), now);
     node.note(
@@ -139,9 +174,10 @@
     Delivery.sendWaiting(node, now);
   }
 
-  static void leaderRead(Node node, Leader leader, Now now) {
+  static void leaderRead(Node node, @Nullable Leader leader, Now now) {
+    node.leaderAsked = true;
     Leader known = node.leader;
-    if (known != null && known.epoch() >= leader.epoch()) {
+    if (leader == null || (known != null && known.epoch() >= leader.epoch())) {
       return;
     }
     node.leader = leader;
--- a/core/src/test/java/dev/toucanstall/core/node/NodeTest.java
+++ b/core/src/test/java/dev/toucanstall/core/node/NodeTest.java
@@ -92,6 +92,10 @@
         .findFirst();
   }
 
+  private void readThatNobodyPlans() {
+    tell(new NodeEvent.LeaderRead(null));
+  }
+
   private void followOther(long epoch) {
     tell(new NodeEvent.LeaderRead(new Leader(epoch, "n2", OTHER)));
     tell(new NodeEvent.LinkUp(OTHER));
@@ -231,10 +235,10 @@
   void holderElectsItselfOnlyWhileThePlannerIsUnfit() {
     readCatalog(catalog(1, "key"));
     followOther(1);
-    tell(new NodeEvent.PeerPonged(true, false));
+    tell(new NodeEvent.PeerPonged(OTHER, true, false));
     tell(new NodeEvent.Joined(true));
     assertThat(effects).doesNotContain(new NodeEffect.Elect(1));
-    tell(new NodeEvent.PeerPonged(false, false));
+    tell(new NodeEvent.PeerPonged(OTHER, false, false));
     tell(new NodeEvent.Joined(true));
     assertThat(effects).contains(new NodeEffect.Elect(1));
   }
@@ -282,7 +286,7 @@
   void plannerThatIsUnreachableIsToldWithItsSilence() {
     readCatalog(catalog(1, "key"));
     followOther(1);
-    tell(new NodeEvent.PeerPonged(true, false));
+    tell(new NodeEvent.PeerPonged(OTHER, true, false));
     submit(1);
     pass(900);
     tell(new NodeEvent.LinkDown(OTHER, "Read timed out"));
@@ -320,7 +324,7 @@
     readCatalog(catalog(1, "key"));
     followOther(1);
     submit(1);
-    tell(new NodeEvent.PeerPonged(false, false));
+    tell(new NodeEvent.PeerPonged(OTHER, false, false));
     tell(new NodeEvent.Joined(true));
     tell(new NodeEvent.Elected(2, 7, List.of()));
     tell(new NodeEvent.PeerAnswered(OTHER, 1, refused(Reason.NO_PLANNER, 1_000)));
@@ -371,19 +375,19 @@
   void instanceThatIsAskedToPlanElectsItself() {
     readCatalog(catalog(1, "key"));
     followOther(3);
-    tell(new NodeEvent.PeerPonged(true, false));
+    tell(new NodeEvent.PeerPonged(OTHER, true, false));
     assertThat(effects).doesNotContain(new NodeEffect.Elect(3));
-    tell(new NodeEvent.PeerPonged(true, true));
+    tell(new NodeEvent.PeerPonged(OTHER, true, true));
     assertThat(effects).contains(new NodeEffect.Elect(3));
   }
 
   @Test
   void instanceThatIsStoppingOrKnowsNoConfigurationDoesNotPlanInPlaceOfAnother() {
     followOther(3);
-    tell(new NodeEvent.PeerPonged(true, true));
+    tell(new NodeEvent.PeerPonged(OTHER, true, true));
     readCatalog(catalog(1, "key"));
     tell(new NodeEvent.StopAsked(6_000));
-    tell(new NodeEvent.PeerPonged(true, true));
+    tell(new NodeEvent.PeerPonged(OTHER, true, true));
     assertThat(effects).doesNotContain(new NodeEffect.Elect(3));
   }
 
@@ -416,6 +420,7 @@
   @Test
   void plannerThatIsReplacedWaitsForItsSuccessorToBeNamed() {
     readCatalog(catalog(1, "key"));
+    readThatNobodyPlans();
     tell(new NodeEvent.Joined(true));
     tell(new NodeEvent.Elected(1, 7, List.of()));
     effects.clear();
@@ -460,7 +465,7 @@
   void plannerThatNoLongerTellsThatItPlansIsReplaced() {
     readCatalog(catalog(1, "key"));
     followOther(1);
-    tell(new NodeEvent.PeerPonged(true, false));
+    tell(new NodeEvent.PeerPonged(OTHER, true, false));
     pass(1_900);
     tell(new NodeEvent.Joined(true));
     assertThat(effects).doesNotContain(new NodeEffect.Elect(1));
@@ -468,4 +473,73 @@
     tell(new NodeEvent.Joined(true));
     assertThat(effects).contains(new NodeEffect.Elect(1));
   }
+
+  // The smallest instance took the planning over on a calm day before it had read who plans.
+  @Test
+  void holderDoesNotElectItselfBeforeItHasReadWhoPlans() {
+    readCatalog(catalog(1, "key"));
+    tell(new NodeEvent.Joined(true));
+    assertThat(effects).doesNotContain(new NodeEffect.Elect(0));
+    readThatNobodyPlans();
+    tell(new NodeEvent.Joined(true));
+    assertThat(effects).contains(new NodeEffect.Elect(0));
+  }
+
+  // The planning went back to the smallest instance by an old word of its predecessor.
+  @Test
+  void wordOfAnEarlierPlannerTellsNothingOfTheNextOne() {
+    readCatalog(catalog(1, "key"));
+    followOther(3);
+    Address next = new Address("10.0.0.3", 7000);
+    tell(new NodeEvent.LeaderRead(new Leader(4, "n3", next)));
+    tell(new NodeEvent.PeerPonged(OTHER, false, true));
+    tell(new NodeEvent.Joined(true));
+    assertThat(effects).doesNotContain(new NodeEffect.Elect(4));
+  }
+
+  // A large planner that stopped was followed by the smallest instance.
+  @Test
+  void plannerThatStopsAsksTheLargestInstanceAndSaysThatItPlansMeanwhile() {
+    readCatalog(catalog(1, "key"));
+    tell(new NodeEvent.Elected(1, 7, List.of()));
+    assertThat(pingForOneSecond(0.36).yields()).isFalse();
+    tell(new NodeEvent.StopAsked(6_000));
+    effects.clear();
+    tell(new NodeEvent.PeerPinged(4, 0.36));
+    assertThat(effects).contains(new NodeEffect.AnswerPing(4, true, true));
+    pass(750);
+    tell(new NodeEvent.PeerPinged(4, 0.36));
+    assertThat(effects).contains(new NodeEffect.AnswerPing(4, false, true));
+  }
+
+  // A planner that had just been elected was fenced by an instance that began its election before.
+  @Test
+  void instanceThatLosesAnElectionFollowsTheHolderOfTheLaterEpoch() {
+    readCatalog(catalog(1, "key"));
+    readThatNobodyPlans();
+    tell(new NodeEvent.Joined(true));
+    tell(new NodeEvent.NotElected("an instance has a later epoch", new Leader(4, "n2", OTHER)));
+    assertThat(effects).contains(new NodeEffect.Follow(OTHER));
+    effects.clear();
+    pass(200);
+    tell(new NodeEvent.Joined(true));
+    assertThat(effects).doesNotContain(new NodeEffect.Elect(4));
+    pass(1_000);
+    tell(new NodeEvent.Joined(true));
+    assertThat(effects).contains(new NodeEffect.Elect(4));
+  }
+
+  // One broken link of the instance that the group names replaced a planner that worked.
+  @Test
+  void holderDoesNotReplacePlannerForOneBrokenLink() {
+    readCatalog(catalog(1, "key"));
+    followOther(3);
+    tell(new NodeEvent.PeerPonged(OTHER, true, false));
+    tell(new NodeEvent.LinkDown(OTHER, "reset"));
+    tell(new NodeEvent.Joined(true));
+    assertThat(effects).doesNotContain(new NodeEffect.Elect(3));
+    tell(new NodeEvent.LinkDown(OTHER, "refused"));
+    tell(new NodeEvent.Joined(true));
+    assertThat(effects).contains(new NodeEffect.Elect(3));
+  }
 }
--- a/core/src/test/java/dev/toucanstall/core/plan/NodeInstance.java
+++ b/core/src/test/java/dev/toucanstall/core/plan/NodeInstance.java
@@ -1,5 +1,6 @@
 package dev.toucanstall.core.plan;
 
+import dev.toucanstall.core.job.JobAnswer;
 import dev.toucanstall.core.model.Address;
 import dev.toucanstall.core.model.InstanceSize;
 import dev.toucanstall.core.node.Node;
@@ -28,6 +29,10 @@
   private static final long SILENT_STORE_MS = 1_000;
   private static final long SILENT_ORDER_MS = 700;
   private static final long CLOSE_MS = 1;
+
+  /** How long the first answer to who plans takes; others come before it. */
+  private static final long WHO_PLANS_MS = 300;
+
   private static final long MICROS = 1_000;
 
   final NodeWorld world;
@@ -85,6 +90,7 @@
     world.at(0, this::tick);
     world.at(0, this::join);
     world.at(0, this::readCatalog);
+    world.at(WHO_PLANS_MS, this::askWhoPlans);
   }
 
   @Nullable Plan plan() {
@@ -168,7 +174,7 @@
       return;
     }
     switch (effect) {
-      case NodeEffect.Answer answer -> answer(answer);
+      case NodeEffect.Answer answer -> answer(answer.ticket(), answer.answer());
       case NodeEffect.AskPeer ask -> planner.ask(ask.planner(), ask.ticket(), ask.call());
       case NodeEffect.AnswerPeer answer ->
           reply(
@@ -176,7 +182,10 @@
               new NodeEvent.PeerAnswered(address, answer.number(), answer.answer()),
               true);
       case NodeEffect.AnswerPing answer ->
-          reply(answer.link(), new NodeEvent.PeerPonged(answer.plans(), answer.yields()), false);
+          reply(
+              answer.link(),
+              new NodeEvent.PeerPonged(address, answer.plans(), answer.yields()),
+              false);
       case NodeEffect.DeclinePeer decline ->
           reply(
               decline.link(),
@@ -205,10 +214,10 @@
     }
   }
 
-  private void answer(NodeEffect.Answer answer) {
-    NodeClients.Attempt attempt = reading.remove(answer.ticket());
+  private void answer(long ticket, JobAnswer answer) {
+    NodeClients.Attempt attempt = reading.remove(ticket);
     if (attempt != null) {
-      attempt.answered(answer.answer());
+      attempt.answered(answer);
     }
   }
 
@@ -268,6 +277,20 @@
         });
   }
 
+  /** Asks the store for the first time who plans. */
+  private void askWhoPlans() {
+    if (gone) {
+      return;
+    }
+    if (frozen() || cut || !world.backend.storeUp) {
+      world.at(SERVERS_MS, this::askWhoPlans);
+    } else if (world.leader == null) {
+      post(new NodeEvent.LeaderRead(null));
+    } else {
+      readLeader();
+    }
+  }
+
   /** Takes note of the planner that the store names. */
   void readLeader() {
     if (!gone && !cut && world.leader != null && world.leader.epoch() > knownEpoch) {
--- a/core/src/test/java/dev/toucanstall/core/plan/NodeWorld.java
+++ b/core/src/test/java/dev/toucanstall/core/plan/NodeWorld.java
@@ -174,7 +174,7 @@
   /** Fences the last planner, reads the records, and claims the epoch if nobody else did. */
   void elect(NodeInstance candidate, long lastEpoch) {
     if (candidate.cut || !backend.storeUp) {
-      at(1_000, () -> candidate.post(new NodeEvent.NotElected("no answer")));
+      at(1_000, () -> candidate.post(new NodeEvent.NotElected("no answer", null)));
       return;
     }
     at(storeMs(), () -> claim(candidate, backend.fence(lastEpoch + 1)));
@@ -185,7 +185,7 @@
         2 * storeMs(),
         () -> {
           if (backend.fencedBelow != epoch) {
-            candidate.post(new NodeEvent.NotElected("another instance takes the epoch"));
+            candidate.post(new NodeEvent.NotElected("another instance takes the epoch", null));
             return;
           }
           List<JobRecord> records = backend.records();
--- a/entry/src/main/java/dev/toucanstall/entry/node/NodeProcess.java
+++ b/entry/src/main/java/dev/toucanstall/entry/node/NodeProcess.java
@@ -226,6 +226,9 @@
             LogLine.of("planner-record-malformed").with("why", malformed.why()).warn(LOG);
       }
     }
+    if (whole && records.isEmpty()) {
+      post(new NodeEvent.LeaderRead(null));
+    }
   }
 
   @Override
--- a/entry/src/main/java/dev/toucanstall/entry/node/NodeRunner.java
+++ b/entry/src/main/java/dev/toucanstall/entry/node/NodeRunner.java
@@ -134,13 +134,13 @@
           switch (jobs.elect(self(lastEpoch))) {
             case JobLog.Election.Won won ->
                 new NodeEvent.Elected(won.epoch(), won.nextSequence(), won.records());
-            case JobLog.Election.Lost lost -> new NodeEvent.NotElected(lost.why());
+            case JobLog.Election.Lost lost -> new NodeEvent.NotElected(lost.why(), lost.newest());
           });
     } catch (InterruptedException e) {
       Thread.currentThread().interrupt();
     } catch (RuntimeException e) {
       LogLine.of("election-error").error(LOG, e);
-      events.accept(new NodeEvent.NotElected(e.toString()));
+      events.accept(new NodeEvent.NotElected(e.toString(), null));
     }
   }
 
--- a/entry/src/main/java/dev/toucanstall/entry/node/PlannerLink.java
+++ b/entry/src/main/java/dev/toucanstall/entry/node/PlannerLink.java
@@ -140,7 +140,7 @@
       case NodeMessage.NotPlanner declined ->
           events.accept(new NodeEvent.PeerDeclined(from, declined.number(), declined.taken()));
       case NodeMessage.Pong pong ->
-          events.accept(new NodeEvent.PeerPonged(pong.plans(), pong.yields()));
+          events.accept(new NodeEvent.PeerPonged(from, pong.plans(), pong.yields()));
       case NodeMessage.Alive alive -> {}
       case NodeMessage.Ping ping -> LogLine.of("ping-unexpected").warn(LOG);
       case NodeMessage.Ask ask ->
