Answer what was read though the decisions of a stopping instance are behind

Cause: the signal waited behind a second of events, the grace time counted from when it was handled, and calls that still waited in the control queue were not answered by anybody. Change: the signal goes ahead of the events that wait; a process that ends answers calls that nobody has decided on as ones that may have run.

--- a/core/src/test/java/dev/toucanstall/core/plan/NodeInstance.java
+++ b/core/src/test/java/dev/toucanstall/core/plan/NodeInstance.java
@@ -206,7 +206,12 @@
       case NodeEffect.EndConnections end -> {
         // Clients here send each request on a connection that stays open until the process is gone.
       }
-      case NodeEffect.Exit exit -> world.at(CLOSE_MS, this::end);
+      case NodeEffect.Exit exit -> {
+        world.at(
+            CLOSE_MS / 2,
+            () -> List.copyOf(reading.keySet()).forEach(t -> answer(t, new JobAnswer.Uncertain())));
+        world.at(CLOSE_MS, this::end);
+      }
       case NodeEffect.Note note -> {
         notes.merge(note.event(), 1, Integer::sum);
         world.noted(note);
@@ -349,7 +354,8 @@
   /** SIGTERM, and SIGKILL after the grace time. */
   void stop(long graceMs) {
     stopping = true;
-    post(new NodeEvent.StopAsked(graceMs));
+    queue.addFirst(new Posted(new NodeEvent.StopAsked(graceMs), world.nowMs()));
+    wake();
     world.at(graceMs, this::end);
   }
 
--- a/entry/src/main/java/dev/toucanstall/entry/node/NodeProcess.java
+++ b/entry/src/main/java/dev/toucanstall/entry/node/NodeProcess.java
@@ -1,6 +1,7 @@
 package dev.toucanstall.entry.node;
 
 import dev.toucanstall.core.job.Catalog;
+import dev.toucanstall.core.job.JobAnswer;
 import dev.toucanstall.core.job.ServerEntry;
 import dev.toucanstall.core.job.WaveOrder;
 import dev.toucanstall.core.node.ClientCall;
@@ -301,7 +302,7 @@
 
   /** Begins a graceful stop. */
   void stop() {
-    post(new NodeEvent.StopAsked(settings.graceMs()));
+    loop.postFirst(new NodeEvent.StopAsked(settings.graceMs()));
   }
 
   /** Waits until the process may end. */
@@ -310,12 +311,27 @@
     LogLine.of("stopped").with("instance", settings.name()).info(LOG);
   }
 
+  /** Answers calls that wait in the control queue as well: nobody knows what became of them. */
+  private void answerLast() throws InterruptedException {
+    long wait = settings.graceMs() / GRACE_PARTS / 2;
+    if (handler.awaitAnswered(wait)) {
+      return;
+    }
+    int calls = handler.answerAll(new JobAnswer.Uncertain());
+    LogLine.of("calls-given-up")
+        .with("instance", settings.name())
+        .with("calls", calls)
+        .with("queued", loop.backlog())
+        .warn(LOG);
+    if (!handler.awaitAnswered(wait)) {
+      LogLine.of("calls-cut").with("instance", settings.name()).warn(LOG);
+    }
+  }
+
   @Override
   public void close() throws Exception {
     HttpServers.stopAccepting(clients);
-    if (!handler.awaitAnswered(settings.graceMs() / GRACE_PARTS)) {
-      LogLine.of("calls-cut").with("instance", settings.name()).warn(LOG);
-    }
+    answerLast();
     clients.stop();
     for (AutoCloseable watch : watches) {
       watch.close();
--- a/runtime/src/main/java/dev/toucanstall/runtime/loop/ControlLoop.java
+++ b/runtime/src/main/java/dev/toucanstall/runtime/loop/ControlLoop.java
@@ -1,8 +1,8 @@
 package dev.toucanstall.runtime.loop;
 
 import java.time.Duration;
-import java.util.concurrent.BlockingQueue;
-import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.BlockingDeque;
+import java.util.concurrent.LinkedBlockingDeque;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BiConsumer;
 import java.util.function.Consumer;
@@ -25,7 +25,7 @@
   /** Time between two looks at the processor time of the thread, each a system call. */
   private static final long CPU_LOOK_NANOS = TimeUnit.MILLISECONDS.toNanos(500);
 
-  private final BlockingQueue<Posted<E>> queue = new LinkedBlockingQueue<>();
+  private final BlockingDeque<Posted<E>> queue = new LinkedBlockingDeque<>();
   private final Decider<S, E, F> decider;
   private final Consumer<F> interpreter;
   private final BiConsumer<E, RuntimeException> onFailure;
@@ -114,6 +114,15 @@
     queue.add(new Posted<>(event, System.nanoTime()));
   }
 
+  /**
+   * Queues an event ahead of all that wait.
+   *
+   * @param event the event
+   */
+  public void postFirst(E event) {
+    queue.addFirst(new Posted<>(event, System.nanoTime()));
+  }
+
   /**
    * Returns how many events wait.
    *
--- a/runtime/src/test/java/dev/toucanstall/runtime/loop/ControlLoopTest.java
+++ b/runtime/src/test/java/dev/toucanstall/runtime/loop/ControlLoopTest.java
@@ -3,6 +3,7 @@
 import static com.google.common.truth.Truth.assertThat;
 
 import java.time.Duration;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.CountDownLatch;
@@ -106,4 +107,22 @@
       assertThat(next("good").event()).isEqualTo("good");
     }
   }
+
+  // A process that was told to stop heard it seconds later, behind all that waited.
+  @Test
+  void eventPostedFirstIsHandledAheadOfThoseThatWait() throws Exception {
+    try (ControlLoop<Integer, String, String> loop = loop(Duration.ofHours(1))) {
+      loop.start();
+      loop.post("slow");
+      held.await();
+      loop.post("waits");
+      loop.postFirst("stop");
+      let.countDown();
+      List<String> order = new ArrayList<>();
+      while (!order.contains("waits")) {
+        order.add(seen.take().event());
+      }
+      assertThat(order).containsAtLeast("slow", "stop", "waits").inOrder();
+    }
+  }
 }
