Let only instances of the planner's size be candidates; hand over when the store refuses

Cause: after the loss of a planner the group names any member. A planner that the store alone refuses was replaced only once it called itself unfit and its membership had lapsed. Ruled out: the account that surges (no start at all between 3.2 and 8 s, for any account); the size of the read at an election (264 to 293 records: 0.16 s on 1.5 cores, 0.93 s on 0.36). Change: a planner stores its processor capacity beside its name. Instances that are much smaller leave the group, and join again when nobody has taken over for 2 s in which the store could be reached (core.node.Candidacy). A planner whose append has failed twice within 0.3 s asks its largest follower to take over; followers that the store has not answered for 1.5 s offer no capacity, so nothing changes hands in an outage for all. The planner also followed itself and could choose itself as successor; it offers no capacity.

--- a/core/src/main/java/dev/toucanstall/core/node/Followers.java
+++ b/core/src/main/java/dev/toucanstall/core/node/Followers.java
@@ -18,9 +18,6 @@
   /** Time for which a follower must have been fit to plan before it is chosen, in milliseconds. */
   private static final long MIN_STABLE_MS = 1_000;
 
-  /** Minimum ratio of the processor capacities; above 1, so that no two yield to each other. */
-  private static final double MIN_CAPACITY_RATIO = 1.5;
-
   /**
    * A follower that is fit to plan.
    *
@@ -67,10 +64,7 @@
    *     size is unknown
    */
   Optional<Long> findSuccessor(InstanceSize ownSize, long nowMs) {
-    if (ownSize.cores() <= 0) {
-      return Optional.empty();
-    }
-    return findLargest(nowMs).filter(link -> cores(link) >= MIN_CAPACITY_RATIO * ownSize.cores());
+    return findLargest(nowMs).filter(link -> Candidacy.isMuchLarger(cores(link), ownSize.cores()));
   }
 
   /**
--- a/core/src/main/java/dev/toucanstall/core/node/NodeEffect.java
+++ b/core/src/main/java/dev/toucanstall/core/node/NodeEffect.java
@@ -111,9 +111,26 @@
    */
   record HurryGroup(boolean plannerMissing) implements NodeEffect {}
 
-  /** Leaves the group, which then names another entry instance as the candidate for planner. */
+  /**
+   * Joins or leaves the group that names the candidate for planner.
+   *
+   * @param member whether this entry instance is to be a member
+   */
+  record SetGroupMembership(boolean member) implements NodeEffect {}
+
+  /**
+   * Leaves the group for good, which then names another entry instance as the candidate for
+   * planner.
+   */
   record LeaveGroup() implements NodeEffect {}
 
+  /**
+   * Sets the processor capacity that pings to the planner report.
+   *
+   * @param cores the capacity, in cores; 0 if this entry instance is not fit to plan
+   */
+  record OfferCores(double cores) implements NodeEffect {}
+
   /**
    * Sets the answer to readiness probes.
    *
--- a/core/src/main/java/dev/toucanstall/core/node/NodeEvent.java
+++ b/core/src/main/java/dev/toucanstall/core/node/NodeEvent.java
@@ -123,6 +123,13 @@
    */
   record LeaderRead(@Nullable Leader leader) implements NodeEvent {}
 
+  /**
+   * The processor capacity of a planner has been read from the store.
+   *
+   * @param size the capacity
+   */
+  record LeaderSizeRead(LeaderSize size) implements NodeEvent {}
+
   /**
    * The group of entry instances has answered a poll for the candidate for planner.
    *
--- a/core/src/main/java/dev/toucanstall/core/node/Terms.java
+++ b/core/src/main/java/dev/toucanstall/core/node/Terms.java
@@ -48,7 +48,7 @@
   private Terms() {}
 
   static void joined(Node node, boolean candidate, Now now) {
-    if (candidate && !isPlannerActive(node, now)) {
+    if (candidate && !isPlannerActive(node, now) && Candidacy.isEligible(node, now)) {
       startElection(node, "no planner is active", now);
     }
   }
@@ -69,14 +69,16 @@
 
   /**
    * Answers a ping of a follower. The group may name any entry instance as the candidate; a planner
-   * that is much smaller than a follower, or is stopping, asks the largest follower to take over.
+   * that is much smaller than a follower, is stopping or is refused by the store asks the largest
+   * follower to take over. Followers that can't reach the store offer no capacity.
    */
   static void peerPinged(Node node, NodeEvent.PeerPinged pinged, Now now) {
     boolean yields = false;
-    if (node.plan != null) {
+    Plan plan = node.plan;
+    if (plan != null) {
       node.followers.recordPing(pinged.link(), pinged.cores(), now.steadyMs());
       Optional<Long> successor =
-          node.stopping
+          node.stopping || plan.isStoreFailing(now)
               ? node.followers.findLargest(now.steadyMs())
               : node.followers.findSuccessor(node.size, now.steadyMs());
       yields = successor.filter(link -> link == pinged.link()).isPresent();
@@ -133,6 +135,7 @@
     boolean plannerMissing = !isPlannerActive(node, now);
     if (plannerMissing != node.plannerMissing) {
       node.plannerMissing = plannerMissing;
+      node.plannerMissingSinceMs = now.steadyMs();
       node.emit(new NodeEffect.HurryGroup(plannerMissing));
     }
   }
--- a/core/src/main/java/dev/toucanstall/core/plan/Ledger.java
+++ b/core/src/main/java/dev/toucanstall/core/plan/Ledger.java
@@ -22,6 +22,15 @@
    */
   private static final long OUTAGE_MS = 700;
 
+  /**
+   * Time without success after which an append that has failed repeatedly counts as failing, in
+   * milliseconds.
+   */
+  private static final long FAILING_MS = 300;
+
+  /** Number of failed attempts from which an append counts as failing; one may be a lost answer. */
+  private static final int MIN_FAILED_ATTEMPTS = 2;
+
   /** Time after which an idle planner has the store confirm its fencing token, in milliseconds. */
   private static final long CONFIRM_INTERVAL_MS = 700;
 
@@ -71,6 +80,9 @@
   /** Append that is under way, null if none is. */
   private @Nullable PendingAppend pending;
 
+  /** Number of failed attempts of the append that is under way. */
+  private int failedAttempts;
+
   /** Number of the next append that carries records. */
   private long nextSequence;
 
@@ -155,6 +167,14 @@
     return current != null && now.steadyMs() - current.firstSentMs > OUTAGE_MS;
   }
 
+  /** Returns whether the append under way has failed repeatedly. */
+  boolean isStoreFailing(Now now) {
+    PendingAppend current = pending;
+    return current != null
+        && failedAttempts >= MIN_FAILED_ATTEMPTS
+        && now.steadyMs() - current.firstSentMs >= FAILING_MS;
+  }
+
   /** Handles the result of an append. Ignores results of earlier appends. */
   void appendEnded(PlanEvent.Appended event, Now now, Consumer<PlanEffect> out) {
     PendingAppend current = pending;
@@ -168,7 +188,10 @@
         current.actions.forEach(action -> action.run(now, out));
       }
       case FENCED -> out.accept(new PlanEffect.Resign("the store refused the fencing token"));
-      default -> retryAtMs = now.steadyMs() + RETRY_PAUSE_MS;
+      default -> {
+        failedAttempts++;
+        retryAtMs = now.steadyMs() + RETRY_PAUSE_MS;
+      }
     }
   }
 
@@ -209,6 +232,7 @@
 
   private void send(PendingAppend next, Now now, Consumer<PlanEffect> out) {
     pending = next;
+    failedAttempts = 0;
     retryAtMs = 0;
     lastSentMs = now.steadyMs();
     out.accept(new PlanEffect.Append(epoch, next.sequence, next.records));
--- a/core/src/main/java/dev/toucanstall/core/plan/Plan.java
+++ b/core/src/main/java/dev/toucanstall/core/plan/Plan.java
@@ -145,6 +145,16 @@
     return now.steadyMs() - ledger.confirmedMs() <= PlanReducer.START_PERMISSION_MS;
   }
 
+  /**
+   * Returns whether the store fails this planner's appends. It may serve other entry instances.
+   *
+   * @param now current time
+   * @return true if an append has failed several times and none has succeeded since
+   */
+  public boolean isStoreFailing(Now now) {
+    return ledger.isStoreFailing(now);
+  }
+
   /**
    * Requires another confirmation of the fencing token by the store before any run is started or
    * any lease is renewed.
--- a/core/src/test/java/dev/toucanstall/core/plan/NodeSimulation.java
+++ b/core/src/test/java/dev/toucanstall/core/plan/NodeSimulation.java
@@ -62,6 +62,9 @@
   /** Planner that the store names, null if there was none. */
   @Nullable Leader leader;
 
+  /** Processor capacity of the planner that the store names, in cores. */
+  double leaderCores;
+
   /** Entry instance that the group names as candidate for planner, null if there is none. */
   private @Nullable SimulatedInstance groupCandidate;
 
@@ -217,7 +220,7 @@
    * claims the epoch if no other instance has fenced a higher one since.
    */
   void elect(SimulatedInstance candidate, long lastEpoch) {
-    if (candidate.partitioned || !platform.storeAvailable) {
+    if (!candidate.reachesStore()) {
       after(1_000, () -> candidate.post(new NodeEvent.NotElected("no answer", null)));
       return;
     }
@@ -239,19 +242,22 @@
 
   /** Stores the name of a planner; tries again while the planner is cut off. */
   void announce(SimulatedInstance planner, long epoch) {
-    if (planner.partitioned) {
+    if (planner.partitioned || planner.storeRefused) {
       after(1_000, () -> announce(planner, epoch));
       return;
     }
-    after(storeLatencyMs(), () -> storeLeader(new Leader(epoch, planner.name, planner.address)));
+    after(
+        storeLatencyMs(),
+        () -> storeLeader(new Leader(epoch, planner.name, planner.address), planner.cores));
   }
 
   /**
    * Stores the name of a planner unless a later epoch is stored; all entry instances then read it.
    */
-  private void storeLeader(Leader newLeader) {
+  private void storeLeader(Leader newLeader, double cores) {
     if (leader == null || leader.epoch() < newLeader.epoch()) {
       leader = newLeader;
+      leaderCores = cores;
       List.copyOf(instances).forEach(i -> after(storeLatencyMs(), i::readLeader));
     }
   }
--- a/core/src/test/java/dev/toucanstall/core/plan/SimulatedInstance.java
+++ b/core/src/test/java/dev/toucanstall/core/plan/SimulatedInstance.java
@@ -3,6 +3,7 @@
 import dev.toucanstall.core.job.JobAnswer;
 import dev.toucanstall.core.model.Address;
 import dev.toucanstall.core.model.InstanceSize;
+import dev.toucanstall.core.node.LeaderSize;
 import dev.toucanstall.core.node.Node;
 import dev.toucanstall.core.node.NodeEffect;
 import dev.toucanstall.core.node.NodeEvent;
@@ -65,8 +66,14 @@
    */
   boolean partitioned;
 
+  /** Whether the store refuses the calls of this process, though it serves others. */
+  boolean storeRefused;
+
   boolean ready;
 
+  /** Processor capacity that pings offer to the planner, in cores. */
+  double offeredCores;
+
   /**
    * Last renewal of the membership in the group, in milliseconds of the monotonic clock; far in the
    * past if there was none.
@@ -247,7 +254,9 @@
       case NodeEffect.EndTerm end -> planningEpoch = 0;
       case NodeEffect.OfPlan ofPlan -> carryOutPlanEffect(ofPlan.epoch(), ofPlan.effect());
       case NodeEffect.HurryGroup polling -> pollsGroupOften = polling.plannerMissing();
-      case NodeEffect.LeaveGroup leave -> leaveGroup();
+      case NodeEffect.SetGroupMembership membership -> setGroupMembership(membership.member());
+      case NodeEffect.LeaveGroup leave -> setGroupMembership(false);
+      case NodeEffect.OfferCores offer -> offeredCores = offer.cores();
       case NodeEffect.SetReady readiness -> ready = readiness.ready();
       case NodeEffect.EndConnections end -> {
         // Simulated clients leave each connection open until the process has terminated.
@@ -301,7 +310,11 @@
 
   /** Carries out an effect of the planner; its result is reported to the term with that epoch. */
   private void carryOutPlanEffect(long epoch, PlanEffect effect) {
-    if (partitioned) {
+    if (storeRefused && effect instanceof PlanEffect.Append append) {
+      PlanEvent refusal =
+          new PlanEvent.Appended(append.sequence(), sim.nowMs(), StoreResult.NOT_DONE);
+      sim.after(sim.storeLatencyMs(), () -> post(new NodeEvent.ForPlan(epoch, refusal)));
+    } else if (partitioned) {
       long timeoutMs = effect instanceof PlanEffect.Append ? STORE_TIMEOUT_MS : CALL_TIMEOUT_MS;
       sim.after(
           timeoutMs, () -> post(new NodeEvent.ForPlan(epoch, timeoutEvent(effect, timeoutMs))));
@@ -326,13 +339,17 @@
 
   // Reads from the store and the group.
 
+  boolean reachesStore() {
+    return !partitioned && !storeRefused && sim.platform.storeAvailable;
+  }
+
   private void readCatalog() {
     if (terminated) {
       return;
     }
     long requestedMs = sim.nowMs();
     boolean firstRead = catalogVersion == 0;
-    if (isPaused() || partitioned || !sim.platform.storeAvailable) {
+    if (isPaused() || !reachesStore()) {
       sim.after(STORE_READ_INTERVAL_MS, this::readCatalog);
       return;
     }
@@ -353,7 +370,7 @@
     if (terminated) {
       return;
     }
-    if (isPaused() || partitioned || !sim.platform.storeAvailable) {
+    if (isPaused() || !reachesStore()) {
       sim.after(STORE_READ_INTERVAL_MS, this::queryLeader);
     } else if (sim.leader == null) {
       post(new NodeEvent.LeaderRead(null));
@@ -364,9 +381,10 @@
 
   /** Reads the planner that the store names, if it is newer than the last. */
   void readLeader() {
-    if (!terminated && !partitioned && sim.leader != null && sim.leader.epoch() > leaderEpoch) {
+    if (!terminated && reachesStore() && sim.leader != null && sim.leader.epoch() > leaderEpoch) {
       leaderEpoch = sim.leader.epoch();
       post(new NodeEvent.LeaderRead(sim.leader));
+      post(new NodeEvent.LeaderSizeRead(new LeaderSize(leaderEpoch, sim.leaderCores)));
     }
   }
 
@@ -380,11 +398,11 @@
     if (terminated || planningEpoch != epoch) {
       return;
     }
-    if (!partitioned) {
+    if (!partitioned && !storeRefused) {
       PlanEvent event = sim.platform.serversRead(complete);
       sim.after(sim.storeLatencyMs(), () -> post(new NodeEvent.ForPlan(epoch, event)));
     }
-    boolean stillComplete = complete && partitioned;
+    boolean stillComplete = complete && (partitioned || storeRefused);
     sim.after(STORE_READ_INTERVAL_MS, () -> readServers(epoch, stillComplete));
   }
 
@@ -396,16 +414,18 @@
     if (terminated) {
       return;
     }
-    if (groupMember && !isPaused() && !partitioned && sim.platform.storeAvailable) {
+    if (groupMember && !isPaused() && reachesStore()) {
       boolean candidate = sim.join(this);
       sim.after(sim.storeLatencyMs(), () -> post(new NodeEvent.Joined(candidate)));
     }
     sim.after(pollsGroupOften ? 80 : 300, this::join);
   }
 
-  private void leaveGroup() {
-    groupMember = false;
-    sim.after(sim.storeLatencyMs(), () -> sim.leave(this));
+  private void setGroupMembership(boolean member) {
+    groupMember = member;
+    if (!member) {
+      sim.after(sim.storeLatencyMs(), () -> sim.leave(this));
+    }
   }
 
   // Requests and the end of the process.
--- a/core/src/test/java/dev/toucanstall/core/plan/SimulatedLink.java
+++ b/core/src/test/java/dev/toucanstall/core/plan/SimulatedLink.java
@@ -112,7 +112,7 @@
 
     private void ping() {
       if (open) {
-        sendToPeer(new NodeEvent.PeerPinged(number, owner.ready ? owner.cores : 0));
+        sendToPeer(new NodeEvent.PeerPinged(number, owner.offeredCores));
         sim.after(PING_INTERVAL_MS, this::ping);
       }
     }
--- a/entry/src/main/java/dev/toucanstall/entry/node/NodeEffectRunner.java
+++ b/entry/src/main/java/dev/toucanstall/entry/node/NodeEffectRunner.java
@@ -116,7 +116,10 @@
       case NodeEffect.OfPlan planEffect -> runPlanEffect(planEffect.epoch(), planEffect.effect());
       case NodeEffect.HurryGroup request ->
           process.group().setPlannerMissing(request.plannerMissing());
+      case NodeEffect.SetGroupMembership membership ->
+          process.group().setMember(membership.member());
       case NodeEffect.LeaveGroup leave -> process.group().leave();
+      case NodeEffect.OfferCores offer -> plannerLink.setOfferedCores(offer.cores());
       case NodeEffect.SetReady ready -> process.setReady(ready.ready());
       case NodeEffect.EndConnections endConnections -> jobHandler.endConnections();
       case NodeEffect.Exit exit -> process.exit();
@@ -160,6 +163,7 @@
   private void announce(long epoch) {
     jobLog.announce(
         ownLeaderRecord(epoch),
+        settings.size().cores(),
         result -> {
           if (result != StoreResult.DONE && result != StoreResult.FENCED) {
             announce(epoch);
--- a/entry/src/main/java/dev/toucanstall/entry/node/NodeProcess.java
+++ b/entry/src/main/java/dev/toucanstall/entry/node/NodeProcess.java
@@ -6,6 +6,7 @@
 import dev.toucanstall.core.job.WaveOrder;
 import dev.toucanstall.core.node.ClientCall;
 import dev.toucanstall.core.node.Leader;
+import dev.toucanstall.core.node.LeaderSize;
 import dev.toucanstall.core.node.Node;
 import dev.toucanstall.core.node.NodeEffect;
 import dev.toucanstall.core.node.NodeEvent;
@@ -95,7 +96,7 @@
     waveStatusWriter = new WaveStatusWriter(store);
     jobHandler = new JobHandler(this::acceptCall);
     plannerServer = new PlannerServer(settings.peerAddress(), this::post);
-    plannerLink = new PlannerLink(this::post, () -> ready ? settings.size().cores() : 0);
+    plannerLink = new PlannerLink(this::post);
     NodeEffectRunner runner =
         new NodeEffectRunner(
             settings,
@@ -234,10 +235,12 @@
   private void readLeader(
       long requestedMs, boolean snapshot, List<TopicWatcher.KeyedRecord> records) {
     for (TopicWatcher.KeyedRecord record : records) {
-      switch (JobCodec.LEADERS.decode(record.value())) {
-        case Decoded.Value<Leader> value -> post(new NodeEvent.LeaderRead(value.value()));
-        case Decoded.Malformed<Leader> malformed ->
-            LogLine.of("planner-record-malformed").with("why", malformed.reason()).warn(LOG);
+      switch (record.key()) {
+        case JobLog.LEADER_KEY -> readLeader(record);
+        case JobLog.LEADER_SIZE_KEY -> readLeaderSize(record);
+        default -> {
+          // A later version may store further records here.
+        }
       }
     }
     if (snapshot && records.isEmpty()) {
@@ -245,6 +248,22 @@
     }
   }
 
+  private void readLeader(TopicWatcher.KeyedRecord record) {
+    switch (JobCodec.LEADERS.decode(record.value())) {
+      case Decoded.Value<Leader> value -> post(new NodeEvent.LeaderRead(value.value()));
+      case Decoded.Malformed<Leader> malformed ->
+          LogLine.of("planner-record-malformed").with("why", malformed.reason()).warn(LOG);
+    }
+  }
+
+  private void readLeaderSize(TopicWatcher.KeyedRecord record) {
+    switch (JobCodec.LEADER_SIZES.decode(record.value())) {
+      case Decoded.Value<LeaderSize> value -> post(new NodeEvent.LeaderSizeRead(value.value()));
+      case Decoded.Malformed<LeaderSize> malformed ->
+          LogLine.of("planner-record-malformed").with("why", malformed.reason()).warn(LOG);
+    }
+  }
+
   @Override
   public PlannerGroup group() {
     PlannerGroup joined = group;
--- a/entry/src/main/java/dev/toucanstall/entry/node/PlannerLink.java
+++ b/entry/src/main/java/dev/toucanstall/entry/node/PlannerLink.java
@@ -12,7 +12,6 @@
 import java.net.InetSocketAddress;
 import java.net.Socket;
 import java.util.function.Consumer;
-import java.util.function.DoubleSupplier;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 import org.jspecify.annotations.Nullable;
@@ -30,10 +29,10 @@
   private static final long RECONNECT_PAUSE_MILLIS = 200;
 
   private final Consumer<NodeEvent> events;
-  private final DoubleSupplier plannerCores;
   private final Thread pingThread =
       Thread.ofPlatform().name("planner-ping").daemon().unstarted(this::sendPings);
   private volatile boolean closed;
+  private volatile double offeredCores;
   private volatile @Nullable Address plannerAddress;
   private volatile @Nullable FrameLink link;
 
@@ -41,16 +40,18 @@
    * Starts the threads that keep the link and send pings; {@link #follow} names the planner.
    *
    * @param events receives replies and changes of the link
-   * @param plannerCores supplies this instance's processor share in cores, or 0 if it can't plan;
-   *     called on the thread that sends pings
    */
-  PlannerLink(Consumer<NodeEvent> events, DoubleSupplier plannerCores) {
+  PlannerLink(Consumer<NodeEvent> events) {
     this.events = events;
-    this.plannerCores = plannerCores;
     pingThread.start();
     Thread.ofPlatform().name("planner-dial").daemon().start(this::maintainLink);
   }
 
+  /** Sets the processor capacity that pings report, in cores; 0 if this instance can't plan. */
+  void setOfferedCores(double cores) {
+    offeredCores = cores;
+  }
+
   /** Sets the planner to link to; an existing link to the same address stays in use. */
   void follow(Address address) {
     boolean sameAddress = address.equals(plannerAddress);
@@ -81,7 +82,7 @@
       while (!closed) {
         FrameLink current = link;
         if (current != null) {
-          current.offer(JobCodec.MESSAGES.encode(new NodeMessage.Ping(plannerCores.getAsDouble())));
+          current.offer(JobCodec.MESSAGES.encode(new NodeMessage.Ping(offeredCores)));
         }
         Thread.sleep(PING_INTERVAL_MILLIS);
       }
--- a/entry/src/test/java/dev/toucanstall/entry/node/PlannerLinkTest.java
+++ b/entry/src/test/java/dev/toucanstall/entry/node/PlannerLinkTest.java
@@ -32,7 +32,7 @@
   void reelectedPlannerKeepsLink() throws Exception {
     BlockingQueue<NodeEvent> events = new LinkedBlockingQueue<>();
     try (ServerSocket planner = new ServerSocket(0, 1, InetAddress.getLoopbackAddress());
-        PlannerLink link = new PlannerLink(events::add, () -> 1)) {
+        PlannerLink link = new PlannerLink(events::add)) {
       Address address = new Address("127.0.0.1", planner.getLocalPort());
       link.follow(address);
       try (Socket accepted = planner.accept()) {
@@ -53,7 +53,7 @@
   void fullLinkStaysOpenAndReportsEachCallThatItDrops() throws Exception {
     BlockingQueue<NodeEvent> events = new LinkedBlockingQueue<>();
     try (ServerSocket planner = new ServerSocket(0, 1, InetAddress.getLoopbackAddress());
-        PlannerLink link = new PlannerLink(events::add, () -> 1)) {
+        PlannerLink link = new PlannerLink(events::add)) {
       Address address = new Address("127.0.0.1", planner.getLocalPort());
       link.follow(address);
       try (Socket accepted = planner.accept()) {
--- a/wire/src/main/java/dev/toucanstall/wire/job/JobCodec.java
+++ b/wire/src/main/java/dev/toucanstall/wire/job/JobCodec.java
@@ -5,6 +5,7 @@
 import com.fasterxml.jackson.databind.ObjectWriter;
 import dev.toucanstall.core.job.JobRecord;
 import dev.toucanstall.core.node.Leader;
+import dev.toucanstall.core.node.LeaderSize;
 import dev.toucanstall.core.node.NodeMessage;
 import dev.toucanstall.wire.Decoded;
 import dev.toucanstall.wire.json.Mappers;
@@ -27,6 +28,9 @@
   /** Codec of the stored name and address of the elected planner. */
   public static final JobCodec<Leader> LEADERS = new JobCodec<>(Leader.class);
 
+  /** Codec of the stored processor capacity of a planner. */
+  public static final JobCodec<LeaderSize> LEADER_SIZES = new JobCodec<>(LeaderSize.class);
+
   private final ObjectWriter writer;
   private final ObjectReader reader;
 
