Claim no epoch while a stored record can't be read

Cause: an election skipped each record that it could not decode and planned without it. An instance of an earlier version, or a damaged record, would lose accepted jobs without a word but record-malformed. Found by reading. Change: the election ends as Unreadable before its claim, names the record in election-failed, and the instance leaves the group and offers no capacity for 10 s, so that one that can read the records plans. Ruled out: trying again at once (the instance would stay the candidate and fence again and again); skipping records after some tries (a guess).

--- a/core/src/main/java/dev/toucanstall/core/node/Candidacy.java
+++ b/core/src/main/java/dev/toucanstall/core/node/Candidacy.java
@@ -52,11 +52,14 @@
   }
 
   /**
-   * Returns whether this instance may start an election: it is not much smaller than the planner
-   * was, or no larger instance has taken over in time. The time counts only while the store can be
-   * reached, as no instance can take over without it.
+   * Returns whether this instance may start an election: it can read the records, and it is not
+   * much smaller than the planner was, or no larger instance has taken over in time. The time
+   * counts only while the store can be reached, as no instance can take over without it.
    */
   static boolean isEligible(Node node, Now now) {
+    if (now.steadyMs() < node.unfitUntilMs) {
+      return false;
+    }
     return !isMuchSmallerThanPlanner(node)
         || (node.plannerMissing
             && hasStoreContact(node, now)
@@ -86,7 +89,11 @@
       node.emit(new NodeEffect.SetGroupMembership(eligible));
     }
     // A planner follows itself as well, and must not choose itself as its successor.
-    boolean fit = node.ready && node.plan == null && hasStoreContact(node, now);
+    boolean fit =
+        node.ready
+            && node.plan == null
+            && hasStoreContact(node, now)
+            && now.steadyMs() >= node.unfitUntilMs;
     double cores = fit ? node.size.cores() : 0;
     if (cores != node.offeredCores) {
       node.offeredCores = cores;
--- a/core/src/main/java/dev/toucanstall/core/node/Node.java
+++ b/core/src/main/java/dev/toucanstall/core/node/Node.java
@@ -102,6 +102,9 @@
   /** Time since which the store answers, in milliseconds of the monotonic clock. */
   long storeContactSinceMs;
 
+  /** Time until which this entry instance can't plan, in milliseconds of the monotonic clock. */
+  long unfitUntilMs;
+
   /** Whether this entry instance is in the group from which the candidate is named. */
   boolean groupMember = true;
 
--- a/core/src/main/java/dev/toucanstall/core/node/NodeEvent.java
+++ b/core/src/main/java/dev/toucanstall/core/node/NodeEvent.java
@@ -160,6 +160,14 @@
    */
   record NotElected(String reason, @Nullable Leader latestLeader) implements NodeEvent {}
 
+  /**
+   * An election that this entry instance started was given up, as it can't read all stored records.
+   * A later version may have written them.
+   *
+   * @param reason description of the failure
+   */
+  record RecordsUnreadable(String reason) implements NodeEvent {}
+
   /**
    * An event for the planner of this entry instance.
    *
--- a/core/src/main/java/dev/toucanstall/core/node/NodeReducer.java
+++ b/core/src/main/java/dev/toucanstall/core/node/NodeReducer.java
@@ -44,6 +44,8 @@
       case NodeEvent.Joined joined -> Terms.joined(node, joined.candidate(), now);
       case NodeEvent.Elected elected -> Terms.elected(node, elected, now);
       case NodeEvent.NotElected failed -> Terms.notElected(node, failed, now);
+      case NodeEvent.RecordsUnreadable unreadable ->
+          Terms.recordsUnreadable(node, unreadable.reason(), now);
       case NodeEvent.ForPlan forPlan ->
           Terms.applyToPlan(node, forPlan.epoch(), forPlan.event(), now);
       case NodeEvent.StopAsked stop -> Stopping.begin(node, stop.graceMs(), now);
--- a/core/src/main/java/dev/toucanstall/core/node/Terms.java
+++ b/core/src/main/java/dev/toucanstall/core/node/Terms.java
@@ -23,6 +23,9 @@
   /** Backoff after a lost or failed election, in milliseconds. */
   private static final long ELECTION_BACKOFF_MS = 150;
 
+  /** Time for which an instance that can't read all records lets others plan, in milliseconds. */
+  private static final long UNREADABLE_RECORDS_PAUSE_MS = 10_000;
+
   /**
    * Time since the store last confirmed the planner's epoch after which the planner reports that it
    * is not active, in milliseconds. Confirmations are requested every 0.7 s; without them the
@@ -164,6 +167,16 @@
     }
   }
 
+  /**
+   * Handles an election that was given up because of unreadable records. Planning without them
+   * could lose accepted jobs, so other instances get the chance to plan.
+   */
+  static void recordsUnreadable(Node node, String reason, Now now) {
+    node.electionInProgress = false;
+    node.unfitUntilMs = now.steadyMs() + UNREADABLE_RECORDS_PAUSE_MS;
+    node.logEvent("election-failed", "why", reason);
+  }
+
   static void elected(Node node, NodeEvent.Elected elected, Now now) {
     node.electionInProgress = false;
     Catalog catalog = node.catalog;
--- a/entry/src/main/java/dev/toucanstall/entry/node/NodeEffectRunner.java
+++ b/entry/src/main/java/dev/toucanstall/entry/node/NodeEffectRunner.java
@@ -149,6 +149,8 @@
           switch (jobLog.elect(ownLeaderRecord(lastEpoch))) {
             case JobLog.ElectionResult.Won won ->
                 new NodeEvent.Elected(won.epoch(), won.nextSequence(), won.records());
+            case JobLog.ElectionResult.Unreadable unreadable ->
+                new NodeEvent.RecordsUnreadable(unreadable.reason());
             case JobLog.ElectionResult.Lost lost ->
                 new NodeEvent.NotElected(lost.reason(), lost.latestLeader());
           });
