--- a/core/src/main/java/dev/toucanstall/core/node/Candidacy.java
+++ b/core/src/main/java/dev/toucanstall/core/node/Candidacy.java
@@ -93,7 +93,8 @@
         node.ready
             && node.plan == null
             && hasStoreContact(node, now)
-            && now.steadyMs() >= node.unfitUntilMs;
+            && now.steadyMs() >= node.unfitUntilMs
+            && now.steadyMs() >= node.offersNothingUntilMs;
     double cores = fit ? node.size.cores() : 0;
     if (cores != node.offeredCores) {
       node.offeredCores = cores;
--- a/core/src/main/java/dev/toucanstall/core/node/Node.java
+++ b/core/src/main/java/dev/toucanstall/core/node/Node.java
@@ -105,6 +105,12 @@
   /** Time until which this entry instance can't plan, in milliseconds of the monotonic clock. */
   long unfitUntilMs;
 
+  /**
+   * Time until which this entry instance offers no processor capacity to the planner, in
+   * milliseconds of the monotonic clock.
+   */
+  long offersNothingUntilMs;
+
   /** Whether this entry instance is in the group from which the candidate is named. */
   boolean groupMember = true;
 
--- a/core/src/main/java/dev/toucanstall/core/node/Terms.java
+++ b/core/src/main/java/dev/toucanstall/core/node/Terms.java
@@ -23,6 +23,12 @@
   /** Backoff after a lost or failed election, in milliseconds. */
   private static final long ELECTION_BACKOFF_MS = 150;
 
+  /**
+   * Time for which a planner does not ask an instance again whose election has failed, in
+   * milliseconds. The store may refuse that instance as well.
+   */
+  private static final long FAILED_SUCCESSOR_PAUSE_MS = 1_000;
+
   /** Time for which an instance that can't read all records lets others plan, in milliseconds. */
   private static final long UNREADABLE_RECORDS_PAUSE_MS = 10_000;
 
@@ -161,6 +167,7 @@
   static void notElected(Node node, NodeEvent.NotElected failed, Now now) {
     node.electionInProgress = false;
     node.nextElectionMs = now.steadyMs() + ELECTION_BACKOFF_MS;
+    node.offersNothingUntilMs = now.steadyMs() + FAILED_SUCCESSOR_PAUSE_MS;
     node.logEvent("election-failed", "why", failed.reason());
     if (failed.latestLeader() != null) {
       leaderRead(node, failed.latestLeader(), now);
--- a/core/src/test/java/dev/toucanstall/core/plan/NodeSimulation.java
+++ b/core/src/test/java/dev/toucanstall/core/plan/NodeSimulation.java
@@ -220,6 +220,10 @@
    * claims the epoch if no other instance has fenced a higher one since.
    */
   void elect(SimulatedInstance candidate, long lastEpoch) {
+    if (candidate.storeRefused) {
+      after(storeLatencyMs(), () -> candidate.post(new NodeEvent.NotElected("refused", null)));
+      return;
+    }
     if (!candidate.reachesStore()) {
       after(1_000, () -> candidate.post(new NodeEvent.NotElected("no answer", null)));
       return;
--- a/core/src/test/java/dev/toucanstall/core/plan/PlannerFailoverTest.java
+++ b/core/src/test/java/dev/toucanstall/core/plan/PlannerFailoverTest.java
@@ -31,6 +31,9 @@
   /** Time in which the store's refusals show that it doesn't serve the planner. */
   private static final long REFUSAL_DETECTION_MS = 600;
 
+  /** Longest time from the refusal of a planner by the store until another one plans. */
+  private static final long MAX_PAUSE_MS = 1_500;
+
   /** Time without a planner after which small instances may take over, with its detection. */
   private static final long SMALL_TAKEOVER_MS = 2_500;
 
@@ -140,6 +143,37 @@
     }
   }
 
+  /**
+   * Guards against a successor that the store refuses as well, and that is asked again and again.
+   */
+  @Test
+  void instanceThatReachesStoreTakesOverThoughOthersAreRefusedToo() {
+    for (long seed = FIRST_SEED; seed < FIRST_SEED + SEED_COUNT; seed++) {
+      NodeSimulation sim = simulation(seed);
+      SimulatedInstance planner = planner(sim, seed);
+      planner.storeRefused = true;
+      sim.runningInstances()
+          .filter(i -> i.cores == LARGE_CORES && i != planner)
+          .limit(2)
+          .forEach(i -> i.storeRefused = true);
+      sim.runningInstances()
+          .filter(i -> i.cores == SMALL_CORES)
+          .limit(SMALL_INSTANCES / 3)
+          .forEach(i -> i.storeRefused = true);
+      sim.run(1_000);
+      assertWithMessage("failed elections of one instance in a second, seed %s", seed)
+          .that(mostFailedElections(sim))
+          .isAtMost(1);
+      sim.run(MAX_PAUSE_MS - 1_000);
+      assertWithMessage("planner refused by the store, seed %s", seed)
+          .that(planner(sim, seed).storeRefused)
+          .isFalse();
+      assertWithMessage("cores of the next planner, seed %s", seed)
+          .that(planner(sim, seed).cores)
+          .isEqualTo(LARGE_CORES);
+    }
+  }
+
   /** Guards against planners that replace each other in turn during an outage of the store. */
   @Test
   void outageOfStoreForAllChangesNoPlanner() {
@@ -158,6 +192,11 @@
     }
   }
 
+  /** Returns the largest number of failed elections of any one instance. */
+  private static int mostFailedElections(NodeSimulation sim) {
+    return sim.instances.stream().mapToInt(i -> i.logEventCount("election-failed")).max().orElse(0);
+  }
+
   /** Returns how often instances of a processor capacity were elected, in cores. */
   private static int elections(NodeSimulation sim, double cores) {
     return sim.instances.stream()
