Keep the state of the candidacy in its own type

Cause: six fields of Node were written by Candidacy and Terms alike, so that nobody owned them. Change: Candidacy holds them and is told what happened (planner lost, store answered, election failed, records unreadable); its rule is split by name. No behaviour changes but one time: the two seconds of small instances count from the loss of the planner, which was the time of any change of that state. Shown by: tests of core.node, PlannerFailoverTest, NodeSimulationTest and NodeRandomTest green.

--- a/core/src/main/java/dev/toucanstall/core/node/FreshnessRules.java
+++ b/core/src/main/java/dev/toucanstall/core/node/FreshnessRules.java
@@ -53,6 +53,7 @@
   }
 
   static void catalogRead(Node node, NodeEvent.CatalogRead read, Now now) {
+    node.candidacy.storeAnswered(now);
     Catalog latest = read.catalog();
     Catalog current = node.catalog;
     if (latest != null && (current == null || latest.version() > current.version())) {
--- a/core/src/main/java/dev/toucanstall/core/node/Node.java
+++ b/core/src/main/java/dev/toucanstall/core/node/Node.java
@@ -42,6 +42,8 @@
 
   final UnsentReplies unsentReplies = new UnsentReplies();
 
+  final Candidacy candidacy = new Candidacy();
+
   final Map<Integer, WaveOrder> wavesByNumber = new LinkedHashMap<>();
 
   /** The latest configuration, null until one has been read. */
@@ -50,9 +52,6 @@
   /** The latest planner that the store has named, null if none is known. */
   @Nullable Leader leader;
 
-  /** Processor capacity of the latest planner that has stored it, null if none is known. */
-  @Nullable LeaderSize leaderSize;
-
   /** The state of the planner if it is this entry instance, else null. */
   @Nullable Plan plan;
 
@@ -91,32 +90,6 @@
   /** Whether no active planner is known, so that the group is polled more often. */
   boolean plannerMissing = true;
 
-  /**
-   * Time since which {@link #plannerMissing} has its value, in milliseconds of the monotonic clock.
-   */
-  long plannerMissingSinceMs;
-
-  /** Time of the last answer of the store, in milliseconds of the monotonic clock. */
-  long storeAnsweredMs = Long.MIN_VALUE / 2;
-
-  /** Time since which the store answers, in milliseconds of the monotonic clock. */
-  long storeContactSinceMs;
-
-  /** Time until which this entry instance can't plan, in milliseconds of the monotonic clock. */
-  long unfitUntilMs;
-
-  /**
-   * Time until which this entry instance offers no processor capacity to the planner, in
-   * milliseconds of the monotonic clock.
-   */
-  long offersNothingUntilMs;
-
-  /** Whether this entry instance is in the group from which the candidate is named. */
-  boolean groupMember = true;
-
-  /** Processor capacity that pings offer to the planner, in cores; 0 if not fit to plan. */
-  double offeredCores;
-
   boolean electionInProgress;
 
   /** Earliest time of the next election, in milliseconds of the monotonic clock. */
--- a/core/src/main/java/dev/toucanstall/core/node/NodeReducer.java
+++ b/core/src/main/java/dev/toucanstall/core/node/NodeReducer.java
@@ -34,13 +34,10 @@
       case NodeEvent.ReplyUnsent unsent -> node.unsentReplies.add(unsent.reply(), now.steadyMs());
       case NodeEvent.LinkUp up -> Delivery.linkUp(node, up.address(), now);
       case NodeEvent.LinkDown down -> Delivery.linkDown(node, down, now);
-      case NodeEvent.CatalogRead read -> {
-        Candidacy.storeAnswered(node, now);
-        FreshnessRules.catalogRead(node, read, now);
-      }
+      case NodeEvent.CatalogRead read -> FreshnessRules.catalogRead(node, read, now);
       case NodeEvent.WaveRead read -> Terms.waveRead(node, read.order(), now);
       case NodeEvent.LeaderRead read -> Terms.leaderRead(node, read.leader(), now);
-      case NodeEvent.LeaderSizeRead read -> Candidacy.leaderSizeRead(node, read.size());
+      case NodeEvent.LeaderSizeRead read -> node.candidacy.leaderSizeRead(read.size());
       case NodeEvent.Joined joined -> Terms.joined(node, joined.candidate(), now);
       case NodeEvent.Elected elected -> Terms.elected(node, elected, now);
       case NodeEvent.NotElected failed -> Terms.notElected(node, failed, now);
@@ -52,7 +49,7 @@
     }
     Terms.updateGroupPolling(node, now);
     FreshnessRules.updateReadiness(node, now);
-    Candidacy.update(node, now);
+    node.candidacy.update(node, now);
     return node.takeEffects();
   }
 
--- a/core/src/main/java/dev/toucanstall/core/node/Terms.java
+++ b/core/src/main/java/dev/toucanstall/core/node/Terms.java
@@ -23,15 +23,6 @@
   /** Backoff after a lost or failed election, in milliseconds. */
   private static final long ELECTION_BACKOFF_MS = 150;
 
-  /**
-   * Time for which a planner does not ask an instance again whose election has failed, in
-   * milliseconds. The store may refuse that instance as well.
-   */
-  private static final long FAILED_SUCCESSOR_PAUSE_MS = 1_000;
-
-  /** Time for which an instance that can't read all records lets others plan, in milliseconds. */
-  private static final long UNREADABLE_RECORDS_PAUSE_MS = 10_000;
-
   /**
    * Time since the store last confirmed the planner's epoch after which the planner reports that it
    * is not active, in milliseconds. Confirmations are requested every 0.7 s; without them the
@@ -57,7 +48,7 @@
   private Terms() {}
 
   static void joined(Node node, boolean candidate, Now now) {
-    if (candidate && !isPlannerActive(node, now) && Candidacy.isEligible(node, now)) {
+    if (candidate && !isPlannerActive(node, now) && node.candidacy.isEligible(node, now)) {
       startElection(node, "no planner is active", now);
     }
   }
@@ -144,7 +135,9 @@
     boolean plannerMissing = !isPlannerActive(node, now);
     if (plannerMissing != node.plannerMissing) {
       node.plannerMissing = plannerMissing;
-      node.plannerMissingSinceMs = now.steadyMs();
+      if (plannerMissing) {
+        node.candidacy.plannerLost(now);
+      }
       node.emit(new NodeEffect.HurryGroup(plannerMissing));
     }
   }
@@ -167,7 +160,7 @@
   static void notElected(Node node, NodeEvent.NotElected failed, Now now) {
     node.electionInProgress = false;
     node.nextElectionMs = now.steadyMs() + ELECTION_BACKOFF_MS;
-    node.offersNothingUntilMs = now.steadyMs() + FAILED_SUCCESSOR_PAUSE_MS;
+    node.candidacy.electionFailed(now);
     node.logEvent("election-failed", "why", failed.reason());
     if (failed.latestLeader() != null) {
       leaderRead(node, failed.latestLeader(), now);
@@ -180,7 +173,7 @@
    */
   static void recordsUnreadable(Node node, String reason, Now now) {
     node.electionInProgress = false;
-    node.unfitUntilMs = now.steadyMs() + UNREADABLE_RECORDS_PAUSE_MS;
+    node.candidacy.recordsUnreadable(now);
     node.logEvent("election-failed", "why", reason);
   }
 
--- a/core/src/test/java/dev/toucanstall/core/node/CandidacyTest.java
+++ b/core/src/test/java/dev/toucanstall/core/node/CandidacyTest.java
@@ -66,7 +66,6 @@
   void instanceMuchSmallerThanPlannerLeavesGroup() {
     start();
     followPlanner(1);
-    assertThat(node.groupMember).isTrue();
     handle(new NodeEvent.LeaderSizeRead(new LeaderSize(1, PLANNER_CORES)));
     assertThat(effects).contains(new NodeEffect.SetGroupMembership(false));
   }
@@ -76,7 +75,7 @@
     start();
     followPlanner(1);
     handle(new NodeEvent.LeaderSizeRead(new LeaderSize(1, OWN_CORES * 1.4)));
-    assertThat(node.groupMember).isTrue();
+    assertThat(effects).doesNotContain(new NodeEffect.SetGroupMembership(false));
   }
 
   /** Guards against a size that is compared though it belongs to an earlier planner. */
