--- a/core/src/test/java/dev/toucanstall/core/plan/PlannerFailoverTest.java
+++ b/core/src/test/java/dev/toucanstall/core/plan/PlannerFailoverTest.java
@@ -5,6 +5,7 @@
 import dev.toucanstall.core.job.JobSpec;
 import java.util.List;
 import java.util.Objects;
+import java.util.function.ObjLongConsumer;
 import java.util.stream.IntStream;
 import org.junit.jupiter.api.Test;
 
@@ -67,54 +68,58 @@
     return Objects.requireNonNull(planner);
   }
 
-  /** Ends the process of the planner, which is a large instance. */
-  private static void killPlanner(NodeSimulation sim, long seed) {
-    SimulatedInstance planner = planner(sim, seed);
+  private static void assertPlannerCores(NodeSimulation sim, long seed, double cores) {
     assertWithMessage("cores of the planner, seed %s", seed)
-        .that(planner.cores)
-        .isEqualTo(LARGE_CORES);
-    planner.terminate();
+        .that(planner(sim, seed).cores)
+        .isEqualTo(cores);
   }
 
-  /** Guards against a planner that can't carry the load and makes all calls wait for it. */
-  @Test
-  void largeInstanceTakesOverFromLostPlanner() {
+  /** Returns the running instances of a processor capacity, in cores. */
+  private static List<SimulatedInstance> instances(NodeSimulation sim, double cores) {
+    return sim.runningInstances().filter(i -> i.cores == cores).toList();
+  }
+
+  /** Runs a check with each seed, after which no invariant may be violated. */
+  private static void forEachSeed(ObjLongConsumer<NodeSimulation> check) {
     for (long seed = FIRST_SEED; seed < FIRST_SEED + SEED_COUNT; seed++) {
       NodeSimulation sim = simulation(seed);
-      final long completed = sim.completionTimesMs.size();
-      final int smallElections = elections(sim, SMALL_CORES);
-      killPlanner(sim, seed);
-      sim.run(DETECTION_MS + ELECTION_MS);
-      assertWithMessage("cores of the next planner, seed %s", seed)
-          .that(planner(sim, seed).cores)
-          .isEqualTo(LARGE_CORES);
-      assertWithMessage("elections of small instances, seed %s", seed)
-          .that(elections(sim, SMALL_CORES))
-          .isEqualTo(smallElections);
-      sim.run(2_000);
-      assertWithMessage("jobs completed meanwhile, seed %s", seed)
-          .that((long) sim.completionTimesMs.size())
-          .isGreaterThan(completed);
+      check.accept(sim, seed);
       assertWithMessage("violated invariants, seed %s", seed)
           .that(sim.platform.violations)
           .isEmpty();
     }
   }
 
+  /** Guards against a planner that can't carry the load and makes all calls wait for it. */
+  @Test
+  void largeInstanceTakesOverFromLostPlanner() {
+    forEachSeed(
+        (sim, seed) -> {
+          final long completed = sim.completionTimesMs.size();
+          final int smallElections = elections(sim, SMALL_CORES);
+          assertPlannerCores(sim, seed, LARGE_CORES);
+          planner(sim, seed).terminate();
+          sim.run(DETECTION_MS + ELECTION_MS);
+          assertPlannerCores(sim, seed, LARGE_CORES);
+          assertWithMessage("elections of small instances, seed %s", seed)
+              .that(elections(sim, SMALL_CORES))
+              .isEqualTo(smallElections);
+          sim.run(2_000);
+          assertWithMessage("jobs completed meanwhile, seed %s", seed)
+              .that((long) sim.completionTimesMs.size())
+              .isGreaterThan(completed);
+        });
+  }
+
   /** Guards against a fleet of small instances that waits for ever for a large one. */
   @Test
   void smallInstanceTakesOverOnceAllLargeOnesAreLost() {
-    for (long seed = FIRST_SEED; seed < FIRST_SEED + SEED_COUNT; seed++) {
-      NodeSimulation sim = simulation(seed);
-      sim.runningInstances()
-          .filter(i -> i.cores == LARGE_CORES)
-          .toList()
-          .forEach(SimulatedInstance::terminate);
-      sim.run(DETECTION_MS + SMALL_TAKEOVER_MS + ELECTION_MS);
-      assertWithMessage("cores of the next planner, seed %s", seed)
-          .that(planner(sim, seed).cores)
-          .isEqualTo(SMALL_CORES);
-    }
+    forEachSeed(
+        (sim, seed) -> {
+          instances(sim, LARGE_CORES).forEach(SimulatedInstance::terminate);
+          sim.run(DETECTION_MS + SMALL_TAKEOVER_MS + ELECTION_MS);
+          assertPlannerCores(sim, seed, SMALL_CORES);
+        });
   }
 
   /**
@@ -123,24 +128,19 @@
    */
   @Test
   void instanceThatReachesStoreTakesOverFromRefusedPlanner() {
-    for (long seed = FIRST_SEED; seed < FIRST_SEED + SEED_COUNT; seed++) {
-      NodeSimulation sim = simulation(seed);
-      SimulatedInstance refused = planner(sim, seed);
-      refused.storeRefused = true;
-      sim.run(REFUSAL_DETECTION_MS + ELECTION_MS);
-      assertWithMessage("planner, seed %s", seed)
-          .that(planner(sim, seed))
-          .isNotSameInstanceAs(refused);
-      assertWithMessage("cores of the next planner, seed %s", seed)
-          .that(planner(sim, seed).cores)
-          .isEqualTo(LARGE_CORES);
-      sim.run(4_000);
-      refused.storeRefused = false;
-      sim.run(4_000);
-      assertWithMessage("violated invariants, seed %s", seed)
-          .that(sim.platform.violations)
-          .isEmpty();
-    }
+    forEachSeed(
+        (sim, seed) -> {
+          SimulatedInstance refused = planner(sim, seed);
+          refused.storeRefused = true;
+          sim.run(REFUSAL_DETECTION_MS + ELECTION_MS);
+          assertWithMessage("planner, seed %s", seed)
+              .that(planner(sim, seed))
+              .isNotSameInstanceAs(refused);
+          assertPlannerCores(sim, seed, LARGE_CORES);
+          sim.run(4_000);
+          refused.storeRefused = false;
+          sim.run(4_000);
+        });
   }
 
   /**
@@ -148,48 +148,47 @@
    */
   @Test
   void instanceThatReachesStoreTakesOverThoughOthersAreRefusedToo() {
-    for (long seed = FIRST_SEED; seed < FIRST_SEED + SEED_COUNT; seed++) {
-      NodeSimulation sim = simulation(seed);
-      SimulatedInstance planner = planner(sim, seed);
-      planner.storeRefused = true;
-      sim.runningInstances()
-          .filter(i -> i.cores == LARGE_CORES && i != planner)
-          .limit(2)
-          .forEach(i -> i.storeRefused = true);
-      sim.runningInstances()
-          .filter(i -> i.cores == SMALL_CORES)
-          .limit(SMALL_INSTANCES / 3)
-          .forEach(i -> i.storeRefused = true);
-      sim.run(1_000);
-      assertWithMessage("failed elections of one instance in a second, seed %s", seed)
-          .that(mostFailedElections(sim))
-          .isAtMost(1);
-      sim.run(MAX_PAUSE_MS - 1_000);
-      assertWithMessage("planner refused by the store, seed %s", seed)
-          .that(planner(sim, seed).storeRefused)
-          .isFalse();
-      assertWithMessage("cores of the next planner, seed %s", seed)
-          .that(planner(sim, seed).cores)
-          .isEqualTo(LARGE_CORES);
-    }
+    forEachSeed(
+        (sim, seed) -> {
+          SimulatedInstance planner = planner(sim, seed);
+          planner.storeRefused = true;
+          instances(sim, LARGE_CORES).stream()
+              .filter(i -> i != planner)
+              .limit(2)
+              .forEach(i -> i.storeRefused = true);
+          instances(sim, SMALL_CORES).stream()
+              .limit(SMALL_INSTANCES / 3)
+              .forEach(i -> i.storeRefused = true);
+          sim.run(1_000);
+          assertWithMessage("failed elections of one instance in a second, seed %s", seed)
+              .that(mostFailedElections(sim))
+              .isAtMost(1);
+          sim.run(MAX_PAUSE_MS - 1_000);
+          assertWithMessage("planner refused by the store, seed %s", seed)
+              .that(planner(sim, seed).storeRefused)
+              .isFalse();
+          assertPlannerCores(sim, seed, LARGE_CORES);
+        });
   }
 
   /** Guards against planners that replace each other in turn during an outage of the store. */
   @Test
   void outageOfStoreForAllChangesNoPlanner() {
-    for (long seed = FIRST_SEED; seed < FIRST_SEED + SEED_COUNT; seed++) {
-      NodeSimulation sim = simulation(seed);
-      final SimulatedInstance before = planner(sim, seed);
-      final int elections = elections(sim, LARGE_CORES) + elections(sim, SMALL_CORES);
-      sim.instances.forEach(i -> i.storeRefused = true);
-      sim.run(1_200);
-      sim.instances.forEach(i -> i.storeRefused = false);
-      sim.run(3_000);
-      assertWithMessage("planner, seed %s", seed).that(planner(sim, seed)).isSameInstanceAs(before);
-      assertWithMessage("elections, seed %s", seed)
-          .that(elections(sim, LARGE_CORES) + elections(sim, SMALL_CORES))
-          .isEqualTo(elections);
-    }
+    forEachSeed(
+        (sim, seed) -> {
+          final SimulatedInstance before = planner(sim, seed);
+          final int elections = elections(sim, LARGE_CORES) + elections(sim, SMALL_CORES);
+          sim.instances.forEach(i -> i.storeRefused = true);
+          sim.run(1_200);
+          sim.instances.forEach(i -> i.storeRefused = false);
+          sim.run(3_000);
+          assertWithMessage("planner, seed %s", seed)
+              .that(planner(sim, seed))
+              .isSameInstanceAs(before);
+          assertWithMessage("elections, seed %s", seed)
+              .that(elections(sim, LARGE_CORES) + elections(sim, SMALL_CORES))
+              .isEqualTo(elections);
+        });
   }
 
   /** Returns the largest number of failed elections of any one instance. */
--- a/entry/src/test/java/dev/toucanstall/entry/node/PlannerLinkTest.java
+++ b/entry/src/test/java/dev/toucanstall/entry/node/PlannerLinkTest.java
@@ -28,19 +28,23 @@
   /** Exceeds the capacity of a link's queue and of its socket buffers. */
   private static final int CALL_COUNT = 3_000;
 
+  private final BlockingQueue<NodeEvent> events = new LinkedBlockingQueue<>();
+
+  private void awaitLinkUp(Address address) throws InterruptedException {
+    assertThat(events.poll(WAIT_SECONDS, TimeUnit.SECONDS))
+        .isEqualTo(new NodeEvent.LinkUp(address));
+  }
+
   @Test
   void reelectedPlannerKeepsLink() throws Exception {
-    BlockingQueue<NodeEvent> events = new LinkedBlockingQueue<>();
     try (ServerSocket planner = new ServerSocket(0, 1, InetAddress.getLoopbackAddress());
         PlannerLink link = new PlannerLink(events::add)) {
       Address address = new Address("127.0.0.1", planner.getLocalPort());
       link.follow(address);
       try (Socket accepted = planner.accept()) {
-        assertThat(events.poll(WAIT_SECONDS, TimeUnit.SECONDS))
-            .isEqualTo(new NodeEvent.LinkUp(address));
+        awaitLinkUp(address);
         link.follow(address);
-        assertThat(events.poll(WAIT_SECONDS, TimeUnit.SECONDS))
-            .isEqualTo(new NodeEvent.LinkUp(address));
+        awaitLinkUp(address);
         planner.setSoTimeout(300);
         Assertions.assertThrows(SocketTimeoutException.class, planner::accept);
         assertThat(accepted.isClosed()).isFalse();
@@ -51,14 +55,12 @@
   /** Guards against a burst of calls that ends its link each time it is sent. */
   @Test
   void fullLinkStaysOpenAndReportsEachCallThatItDrops() throws Exception {
-    BlockingQueue<NodeEvent> events = new LinkedBlockingQueue<>();
     try (ServerSocket planner = new ServerSocket(0, 1, InetAddress.getLoopbackAddress());
         PlannerLink link = new PlannerLink(events::add)) {
       Address address = new Address("127.0.0.1", planner.getLocalPort());
       link.follow(address);
       try (Socket accepted = planner.accept()) {
-        assertThat(events.poll(WAIT_SECONDS, TimeUnit.SECONDS))
-            .isEqualTo(new NodeEvent.LinkUp(address));
+        awaitLinkUp(address);
         for (long ticket = 1; ticket <= CALL_COUNT; ticket++) {
           link.sendCall(address, ticket, new JobCall.Count("x".repeat(8_000)));
         }
