--- a/entry/src/main/java/dev/toucanstall/entry/node/PlannerLink.java
+++ b/entry/src/main/java/dev/toucanstall/entry/node/PlannerLink.java
@@ -121,6 +121,9 @@
       return connected.run(frame -> receive(address, frame));
     } catch (IOException e) {
       return e.getClass().getSimpleName() + ": " + e.getMessage();
+    } catch (RuntimeException e) {
+      LogLine.of("link-failed").with("why", e).error(LOG, e);
+      return e.toString();
     } finally {
       link = null;
     }
