--- a/review/standin/Lab.java
+++ b/review/standin/Lab.java
@@ -189,6 +189,8 @@
     final TreeMap<String, Machine> machines = new TreeMap<>();
     volatile boolean down;
     volatile long appendsRefusedForSize;
+    /** Time that a list of machines takes. */
+    private static final int LIST_MS = 50;
     private static final int LATE_MIN_MS = 2_000;
     private static final int LATE_MAX_MS = 12_000;
     /** Whether the next order to maintain a machine gets no answer and is carried out late. */
@@ -249,7 +251,10 @@
         case "/-/log-newest" -> newest(query);
         case "/-/log-join" -> join(JSON.readTree(body));
         case "/-/log-leave" -> leave(JSON.readTree(body));
-        case "/-/machines" -> listMachines();
+        case "/-/machines" -> {
+          Thread.sleep(LIST_MS);
+          yield listMachines();
+        }
         case "/-/machine-upkeep" -> upkeep(headers, JSON.readTree(body));
         case "/-/machine-move" -> move(headers, JSON.readTree(body));
         default -> Reply.of(404, JSON.createObjectNode());
--- a/review/standin/WaveCase.java
+++ b/review/standin/WaveCase.java
@@ -96,7 +96,7 @@
 
   private static void submit(Lab.Client client, String path) {
     try {
-      client.call("POST", path, JobsCase.job(1_500, 8_000, 12, false));
+      client.call("POST", path, JobsCase.job(4_000, 8_000, 12, false));
     } catch (InterruptedException e) {
       Thread.currentThread().interrupt();
     }
