Await the leases of a worker whose connections are refused

Cause: ServerRules.connectionRefused took a backend server for ended after 80 ms of ConnectExceptions and released its tasks at once. A network that resets connections to a worker that runs on looks the same as a process that is gone. Ruled out: that "refuse" is handled in another way than "reset": both reach the same rule; only open connections that stay silent keep it from being reached within 5.5 s.

Change: a refused connection is no answer, like any other: no new tasks, renewals without extending the lease, release once the leases have run out. Ends are proved by the worker's lists, a later incarnation, another server at the address, the machine's maintenance or move, or the lease. Related paths: a refused stop is sent again once the worker answers, not at once in a loop; an answer of another server to an order for an earlier incarnation does not end a later one under the same id; only responsive workers count as room for evacuated tasks.

--- a/core/src/main/java/dev/toucanstall/core/plan/Evacuation.java
+++ b/core/src/main/java/dev/toucanstall/core/plan/Evacuation.java
@@ -90,7 +90,8 @@
         .takeWhile(s -> need.cpu() <= s.freeCapacity().cpu())
         .peek(s -> plan.servers.countExamined())
         .filter(s -> s != server)
-        .filter(s -> s.answered && !s.unlisted && !s.entry.draining() && !s.evacuating)
+        .filter(s -> s.answered && s.unresponsiveSinceMs == 0)
+        .filter(s -> !s.unlisted && !s.entry.draining() && !s.evacuating)
         .anyMatch(s -> need.fitsInto(s.freeCapacity()));
   }
 }
--- a/core/src/main/java/dev/toucanstall/core/plan/LeaseRenewalRules.java
+++ b/core/src/main/java/dev/toucanstall/core/plan/LeaseRenewalRules.java
@@ -18,12 +18,6 @@
  */
 final class LeaseRenewalRules {
 
-  /** Pause before the next renewal of a backend server that did not answer, in milliseconds. */
-  private static final long UNRESPONSIVE_PAUSE_MS = 400;
-
-  /** Pause before the next renewal after a refused connection, in milliseconds. */
-  private static final long REFUSED_PAUSE_MS = 100;
-
   /** Length from which a list of finished runs may be truncated. */
   private static final int TRUNCATION_LENGTH = 500;
 
@@ -66,32 +60,19 @@
     switch (outcome) {
       case OrderResult.OtherLife otherLife ->
           ServerRules.incarnationEnded(plan, server, "another incarnation answers");
-      case OrderResult.ConnectionRefused refused -> {
-        server.nextRenewalMs = now.steadyMs() + REFUSED_PAUSE_MS;
-        ServerRules.connectionRefused(plan, server, now);
-      }
+      case OrderResult.ConnectionRefused refused ->
+          ServerRules.markUnresponsive(plan, server, "lease renewal: connection refused", now);
       case OrderResult.Rejected rejected when rejected.reason() == OrderResult.Reason.FENCED ->
           plan.emit(new PlanEffect.Resign("a backend server has seen a higher fencing token"));
       case OrderResult.Rejected rejected ->
-          markUnresponsive(plan, server, "lease renewal refused: " + rejected.reason(), now);
+          ServerRules.markUnresponsive(
+              plan, server, "lease renewal refused: " + rejected.reason(), now);
       case OrderResult.Unanswered unanswered ->
-          markUnresponsive(plan, server, "lease renewal not answered", now);
+          ServerRules.markUnresponsive(plan, server, "lease renewal not answered", now);
       case OrderResult.Obeyed obeyed -> server.readClock(obeyed.serverClockMs(), now.steadyMs());
     }
   }
 
-  /**
-   * Marks a backend server as unresponsive. It gets no tasks, and loses those that it has once
-   * their leases have expired.
-   */
-  private static void markUnresponsive(Plan plan, Server server, String reason, Now now) {
-    if (server.unresponsiveSinceMs == 0) {
-      server.unresponsiveSinceMs = now.steadyMs();
-      ServerRules.logServerEvent(plan, "server-silent", server, reason);
-    }
-    server.nextRenewalMs = now.steadyMs() + UNRESPONSIVE_PAUSE_MS;
-  }
-
   private static void applyLists(
       Plan plan, Server server, PlanEvent.Held held, LeaseRenewalResult.Listed listed, Now now) {
     if (server.unresponsiveSinceMs > 0) {
@@ -106,7 +87,6 @@
     server.answered = true;
     server.listRequestedMs = held.sentMs();
     server.unresponsiveSinceMs = 0;
-    server.refusingSinceMs = 0;
     server.readClock(listed.serverClockMs(), now.steadyMs());
     server.acknowledgedCompletion =
         Math.max(server.acknowledgedCompletion, held.acknowledgedCompletion());
@@ -122,6 +102,7 @@
       listedTasks.add(active.task());
       applyActiveRun(plan, server, active, now);
     }
+    sendDueStops(plan, server);
     if (listed.finished().size() < TRUNCATION_LENGTH) {
       releaseAbsent(plan, server, listedTasks, held.sentMs());
     }
@@ -161,9 +142,18 @@
       task.startUnanswered = false;
       task.absenceConclusiveAfterMs = now.steadyMs();
     }
-    if (task.phase == TaskPhase.STOPPING && !task.stopSent && !task.stopAwaitsStore) {
-      OrderRules.sendStop(plan, task);
-    }
+  }
+
+  /**
+   * Sends the stops that have not reached a backend server, also of runs that its lists lack: a
+   * start that is on its way may still reach it.
+   */
+  private static void sendDueStops(Plan plan, Server server) {
+    server.tasks.stream()
+        .filter(t -> t.phase == TaskPhase.STOPPING && !t.stopAwaitsStore)
+        .filter(t -> !t.stopSent || t.stopUndelivered)
+        .toList()
+        .forEach(t -> OrderRules.sendStop(plan, t));
   }
 
   /**
--- a/core/src/main/java/dev/toucanstall/core/plan/OrderRules.java
+++ b/core/src/main/java/dev/toucanstall/core/plan/OrderRules.java
@@ -105,6 +105,7 @@
     Server server = task.server;
     if (server != null) {
       task.stopSent = true;
+      task.stopUndelivered = false;
       plan.emit(new PlanEffect.Stop(server.entry, plan.epoch, task.key, task.run));
     }
   }
@@ -124,7 +125,6 @@
     Optional<Task> task = findBound(server, started.task(), started.run());
     switch (started.result()) {
       case OrderResult.Obeyed obeyed -> {
-        server.refusingSinceMs = 0;
         if (sameIncarnation) {
           server.readClock(obeyed.serverClockMs(), now.steadyMs());
         }
@@ -132,17 +132,28 @@
       }
       case OrderResult.Rejected rejected -> startRejected(plan, server, task, rejected, now);
       case OrderResult.OtherLife otherLife ->
-          ServerRules.incarnationEnded(plan, server, "another incarnation answers");
+          otherIncarnationAnswers(plan, server, sameIncarnation);
       case OrderResult.ConnectionRefused refused -> {
         task.ifPresent(t -> notStarted(plan, t));
         if (sameIncarnation) {
-          ServerRules.connectionRefused(plan, server, now);
+          ServerRules.markUnresponsive(plan, server, "start: connection refused", now);
         }
       }
       case OrderResult.Unanswered unanswered -> task.ifPresent(t -> startUnanswered(plan, t, now));
     }
   }
 
+  /**
+   * Handles an answer of another backend server at the address to which an order was sent. It shows
+   * that the incarnation has ended for which the order was meant, and says nothing of a later one
+   * under the same id.
+   */
+  private static void otherIncarnationAnswers(Plan plan, Server server, boolean sameIncarnation) {
+    if (sameIncarnation) {
+      ServerRules.incarnationEnded(plan, server, "another incarnation answers");
+    }
+  }
+
   private static void startConfirmed(Task task, Now now) {
     task.startUnanswered = false;
     task.absenceConclusiveAfterMs =
@@ -229,6 +240,7 @@
     if (server == null) {
       return;
     }
+    boolean sameIncarnation = server.entry.startTimeMs() == stopped.serverStartTimeMs();
     Optional<Task> task =
         findBound(server, stopped.task(), stopped.run()).filter(t -> t.phase == TaskPhase.STOPPING);
     switch (stopped.result()) {
@@ -239,10 +251,12 @@
       case OrderResult.Rejected rejected ->
           task.ifPresent(t -> t.absenceConclusiveAfterMs = now.steadyMs());
       case OrderResult.OtherLife otherLife ->
-          ServerRules.incarnationEnded(plan, server, "another incarnation answers");
+          otherIncarnationAnswers(plan, server, sameIncarnation);
       case OrderResult.ConnectionRefused refused -> {
-        ServerRules.connectionRefused(plan, server, now);
-        task.filter(t -> t.server == server).ifPresent(t -> sendStop(plan, t));
+        task.ifPresent(t -> t.stopUndelivered = true);
+        if (sameIncarnation) {
+          ServerRules.markUnresponsive(plan, server, "stop: connection refused", now);
+        }
       }
       case OrderResult.Unanswered unanswered -> task.ifPresent(t -> sendStop(plan, t));
     }
--- a/core/src/main/java/dev/toucanstall/core/plan/Server.java
+++ b/core/src/main/java/dev/toucanstall/core/plan/Server.java
@@ -51,12 +51,6 @@
    */
   long unresponsiveSinceMs;
 
-  /**
-   * Time since which connections are refused, in milliseconds of the monotonic clock, 0 if they are
-   * not.
-   */
-  long refusingSinceMs;
-
   /** Last reading of the backend server's monotonic clock, in milliseconds. */
   long serverClockMs;
 
@@ -138,7 +132,6 @@
     answered = false;
     renewalPending = false;
     nextRenewalMs = 0;
-    refusingSinceMs = 0;
     storedCompletion = 0;
     acknowledgedCompletion = 0;
     appliedCompletion = 0;
--- a/core/src/main/java/dev/toucanstall/core/plan/ServerRules.java
+++ b/core/src/main/java/dev/toucanstall/core/plan/ServerRules.java
@@ -23,10 +23,8 @@
    */
   private static final long MAX_RENEWAL_INTERVAL_MS = 2_000;
 
-  /**
-   * Time of refused connections after which the process is taken to have ended, in milliseconds.
-   */
-  private static final long REFUSED_GRACE_MS = 80;
+  /** Pause before the next renewal of a backend server that did not answer, in milliseconds. */
+  private static final long UNRESPONSIVE_PAUSE_MS = 400;
 
   private ServerRules() {}
 
@@ -128,18 +126,19 @@
   }
 
   /**
-   * Handles a refused connection. Once connections have been refused for {@link #REFUSED_GRACE_MS},
-   * the process is taken to have ended, and so is the backend server. Starts that are under way are
-   * awaited first, because a process that is started again may get them.
+   * Marks a backend server as unresponsive. It gets no tasks, and loses those that it has once
+   * their leases have expired.
+   *
+   * <p>A connection that is refused or reset counts like a missing answer: it shows the state of
+   * the path, and the runs may go on behind it.
    */
-  static void connectionRefused(Plan plan, Server server, Now now) {
-    if (server.refusingSinceMs == 0) {
-      server.refusingSinceMs = now.steadyMs();
-    }
-    boolean startPending = server.tasks.stream().anyMatch(Task::startPending);
-    if (now.steadyMs() - server.refusingSinceMs >= REFUSED_GRACE_MS && !startPending) {
-      incarnationEnded(plan, server, "nothing listens at " + server.entry.address());
+  static void markUnresponsive(Plan plan, Server server, String reason, Now now) {
+    if (server.unresponsiveSinceMs == 0) {
+      server.unresponsiveSinceMs = now.steadyMs();
+      logServerEvent(plan, "server-silent", server, reason);
     }
+    server.nextRenewalMs = now.steadyMs() + UNRESPONSIVE_PAUSE_MS;
+    server.markForRenewal();
   }
 
   /**
--- a/core/src/main/java/dev/toucanstall/core/plan/Task.java
+++ b/core/src/main/java/dev/toucanstall/core/plan/Task.java
@@ -39,6 +39,11 @@
   /** Whether a stop of this run was sent in this term. */
   boolean stopSent;
 
+  /**
+   * Whether the last stop of this run did not reach its backend server, so that it is due again.
+   */
+  boolean stopUndelivered;
+
   /** Whether a stop of this run waits for its cause to be stored. */
   boolean stopAwaitsStore;
 
@@ -110,6 +115,7 @@
     startUnanswered = false;
     startsSent = 0;
     stopSent = false;
+    stopUndelivered = false;
     stopAwaitsStore = false;
     percentDone = 0;
     pacePercent = 100;
@@ -125,11 +131,6 @@
     return phase == TaskPhase.ORDERED && run == number && server == on;
   }
 
-  /** Returns whether a start was sent and its outcome is not known. */
-  boolean startPending() {
-    return phase == TaskPhase.ORDERED && startsSent > 0;
-  }
-
   /** Returns whether a run was ever ordered or the task has left its first phase. */
   boolean hasBegun() {
     return run > 0 || phase != TaskPhase.WAITING;
--- a/core/src/test/java/dev/toucanstall/core/plan/SimulatedServer.java
+++ b/core/src/test/java/dev/toucanstall/core/plan/SimulatedServer.java
@@ -56,6 +56,9 @@
   /** Whether the network delivers calls to the backend server; without it they time out. */
   boolean reachable = true;
 
+  /** Whether the network refuses connections to the backend server, though it runs on. */
+  boolean refusesConnections;
+
   boolean draining;
 
   /** Whether starts are carried out but not answered. */
