Keep a foreign entry or a failing effect from costing the others

Cause: ServerDecoder took any text with a colon and a port as an address. The request to it threw on the control thread, and ControlLoop dropped all further effects of that decision: the renewals of the other workers, whose pending marks stayed set, appends, starts and answers. Ruled out: that the entry takes tasks: it never answers, so none is placed on it.

An effect that throws is reported and the others are carried out, in each process with a control loop; the entry instance reports it to its reducer as a call without an answer, so that no pending mark stays set. The HTTP client reports requests that it can't send and responses that can't be handled. A planner's decision that throws ends the term, since its state is changed in place; the next planner builds it from the store. Records that can't be applied count as unreadable, and a malformed address in an old record keeps no planner from starting.

--- a/core/src/main/java/dev/toucanstall/core/node/Candidacy.java
+++ b/core/src/main/java/dev/toucanstall/core/node/Candidacy.java
@@ -37,6 +37,9 @@
    */
   private static final long FAILED_ELECTION_PAUSE_MS = 1_000;
 
+  /** Time for which an instance whose plan failed lets others plan, in milliseconds. */
+  private static final long FAILED_PLAN_PAUSE_MS = 2_000;
+
   /** Time for which an instance that can't read all records lets others plan, in milliseconds. */
   private static final long UNREADABLE_RECORDS_PAUSE_MS = 10_000;
 
@@ -102,6 +105,11 @@
     offersNothingUntilMs = now.steadyMs() + FAILED_ELECTION_PAUSE_MS;
   }
 
+  /** Records that a decision of this instance failed while it planned. */
+  void planFailed(Now now) {
+    unfitUntilMs = now.steadyMs() + FAILED_PLAN_PAUSE_MS;
+  }
+
   /** Records that this instance can't read all stored records. */
   void recordsUnreadable(Now now) {
     unfitUntilMs = now.steadyMs() + UNREADABLE_RECORDS_PAUSE_MS;
--- a/core/src/main/java/dev/toucanstall/core/node/Terms.java
+++ b/core/src/main/java/dev/toucanstall/core/node/Terms.java
@@ -190,8 +190,15 @@
           "election-dropped", "why", "planner " + currentLeader.member() + " has a later epoch");
       return;
     }
+    Plan plan;
+    try {
+      plan = new Plan(elected.epoch(), elected.firstSequence(), catalog, elected.records(), now);
+    } catch (RuntimeException e) {
+      recordsUnreadable(node, "records can't be applied: " + describe(e), now);
+      return;
+    }
     node.followers.clear();
-    node.plan = new Plan(elected.epoch(), elected.firstSequence(), catalog, elected.records(), now);
+    node.plan = plan;
     node.logEvent(
         "planner-elected",
         "epoch",
@@ -263,7 +270,17 @@
     if (plan == null) {
       return;
     }
-    List<PlanEffect> effects = PlanReducer.reduce(plan, event, now);
+    List<PlanEffect> effects;
+    try {
+      effects = PlanReducer.reduce(plan, event, now);
+    } catch (RuntimeException e) {
+      // The plan is changed in place and may be inconsistent now; the stored records are not.
+      node.logEvent("plan-failed", "event", event.getClass().getSimpleName(), "why", describe(e));
+      resign(node, "a decision failed");
+      node.candidacy.planFailed(now);
+      awaitNewPlanner(node, now);
+      return;
+    }
     for (PlanEffect effect : effects) {
       switch (effect) {
         case PlanEffect.Answer answer ->
@@ -279,6 +296,12 @@
     }
   }
 
+  /** Returns an exception with the place where it was thrown. */
+  private static String describe(RuntimeException e) {
+    StackTraceElement[] trace = e.getStackTrace();
+    return trace.length == 0 ? e.toString() : e + " at " + trace[0];
+  }
+
   /** Ends the term of this entry instance; the calls that it has accepted are declined. */
   private static void resign(Node node, String reason) {
     node.logEvent("planner-resigned", "why", reason);
--- a/core/src/main/java/dev/toucanstall/core/plan/Recovery.java
+++ b/core/src/main/java/dev/toucanstall/core/plan/Recovery.java
@@ -21,7 +21,7 @@
    */
   static final long PREDECESSOR_LEASE_MS = PlanReducer.RENEWAL_PERMISSION_MS + PlanReducer.LEASE_MS;
 
-  /** Address of a backend server whose address was not recorded. */
+  /** Address of a backend server whose address was not recorded or is malformed. */
   private static final Address UNKNOWN_ADDRESS = new Address("0.0.0.0", 1);
 
   private Recovery() {}
@@ -106,9 +106,12 @@
     return keepsRunning && stored == TaskPhase.STOPPING ? TaskPhase.RUNNING : stored;
   }
 
-  /** Returns the recorded address of a task's backend server. */
+  /**
+   * Returns the recorded address of a task's backend server. An earlier version may have recorded a
+   * malformed one.
+   */
   private static Address address(TaskProgress recorded) {
-    return recorded.address().isEmpty() ? UNKNOWN_ADDRESS : Address.parse(recorded.address());
+    return Address.tryParse(recorded.address()).orElse(UNKNOWN_ADDRESS);
   }
 
   /** Creates a backend server that is known only from a task's record until it lists itself. */
--- a/core/src/test/java/dev/toucanstall/core/node/NodeTest.java
+++ b/core/src/test/java/dev/toucanstall/core/node/NodeTest.java
@@ -20,6 +20,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.Objects;
 import java.util.Optional;
 import java.util.Set;
 import org.junit.jupiter.api.Test;
@@ -247,6 +248,32 @@
     assertThat(answer(1)).hasValue(new JobAnswer.Accepted());
   }
 
+  /**
+   * Guards against a planner that goes on with a state which a decision left half changed when it
+   * threw.
+   */
+  @Test
+  void plannerWhoseDecisionThrowsResignsAndLetsOthersPlan() {
+    readCatalog(catalog(1, "key"));
+    readThatThereIsNoPlanner();
+    handle(new NodeEvent.Elected(1, 1, List.of()));
+    Objects.requireNonNull(NodeInternals.planOf(node))
+        .setProbe(
+            part -> {
+              throw new IllegalStateException("broken");
+            });
+    advance(20);
+    assertThat(node.isPlanner()).isFalse();
+    assertThat(effects).contains(new NodeEffect.EndTerm());
+    advance(1_500);
+    effects.clear();
+    handle(new NodeEvent.Joined(true));
+    assertThat(effects.stream().anyMatch(e -> e instanceof NodeEffect.Elect)).isFalse();
+    advance(1_500);
+    handle(new NodeEvent.Joined(true));
+    assertThat(effects.stream().anyMatch(e -> e instanceof NodeEffect.Elect)).isTrue();
+  }
+
   @Test
   void declinedCallIsSentToNextPlanner() {
     readCatalog(catalog(1, "key"));
--- a/core/src/test/java/dev/toucanstall/core/plan/PlanTest.java
+++ b/core/src/test/java/dev/toucanstall/core/plan/PlanTest.java
@@ -183,7 +183,7 @@
   @Test
   void answerOfAnotherServerAtFormerAddressDoesNotEndLaterIncarnation() {
     PlanSimulation sim = simulationWithPlanner("w1");
-    long formerStartMs = sim.requireServer("w1").startTimeMs;
+    final long formerStartMs = sim.requireServer("w1").startTimeMs;
     sim.requireServer("w1").crash();
     sim.addServer("w1", 10_000);
     sim.run(1_000);
--- a/entry/src/main/java/dev/toucanstall/entry/node/NodeEffectRunner.java
+++ b/entry/src/main/java/dev/toucanstall/entry/node/NodeEffectRunner.java
@@ -93,8 +93,21 @@
     this.process = process;
   }
 
+  /**
+   * Carries out an effect. One that throws is reported like a call without an answer, so that
+   * nothing waits for its result.
+   */
   @Override
   public void accept(NodeEffect effect) {
+    try {
+      carryOut(effect);
+    } catch (RuntimeException e) {
+      LogLine.of("effect-failed").with("effect", effect.getClass().getSimpleName()).error(LOG, e);
+      EffectFailures.resultOf(effect, clock.steadyMs(), e.toString()).ifPresent(events);
+    }
+  }
+
+  private void carryOut(NodeEffect effect) {
     switch (effect) {
       case NodeEffect.Answer answer -> jobHandler.answer(answer.ticket(), answer.answer());
       case NodeEffect.AskPeer request ->
--- a/runtime/src/main/java/dev/toucanstall/runtime/http/AsyncHttpClient.java
+++ b/runtime/src/main/java/dev/toucanstall/runtime/http/AsyncHttpClient.java
@@ -1,6 +1,7 @@
 package dev.toucanstall.runtime.http;
 
 import dev.toucanstall.core.model.Address;
+import dev.toucanstall.runtime.log.LogLine;
 import java.net.ConnectException;
 import java.nio.ByteBuffer;
 import java.time.Duration;
@@ -9,6 +10,8 @@
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
 import org.eclipse.jetty.client.BufferingResponseListener;
 import org.eclipse.jetty.client.ByteBufferRequestContent;
 import org.eclipse.jetty.client.HttpClient;
@@ -25,6 +28,7 @@
 /** Sends HTTP requests without blocking and passes their outcomes to callbacks. Thread-safe. */
 public final class AsyncHttpClient implements AutoCloseable {
 
+  private static final Logger LOG = LogManager.getLogger(AsyncHttpClient.class);
   private static final int MAX_RESPONSE_BYTES = 64 << 20;
   private static final long CONNECT_TIMEOUT_MILLIS = 500;
   private static final long IDLE_TIMEOUT_MILLIS = 60_000;
@@ -94,12 +98,46 @@
       Duration timeout) {}
 
   /**
-   * Sends a request.
+   * Sends a request. Does not throw: a request that can't be sent is reported as {@link
+   * HttpOutcome.ConnectionRefused}, on the calling thread.
    *
    * @param request the request
-   * @param callback receives the outcome once, on a thread of the client; must not block
+   * @param callback receives the outcome, on a thread of the client; must not block. If it throws,
+   *     it receives the outcome {@link HttpOutcome.NoResponse} in addition, because the sender
+   *     waits for one that it can use
    */
   public void send(OutgoingRequest request, Consumer<HttpOutcome> callback) {
+    Request jettyRequest;
+    try {
+      jettyRequest = jettyRequest(request);
+    } catch (RuntimeException e) {
+      LogLine.of("request-invalid")
+          .with("method", request.method())
+          .with("address", request.address())
+          .error(LOG, e);
+      callback.accept(new HttpOutcome.ConnectionRefused("the request is invalid: " + e));
+      return;
+    }
+    jettyRequest.send(
+        new BufferingResponseListener(MAX_RESPONSE_BYTES) {
+          @Override
+          public void onComplete(Result result) {
+            report(outcome(result, getContent()), callback);
+          }
+        });
+  }
+
+  /** Reports an outcome; if the callback can't handle it, reports that there was no response. */
+  private static void report(HttpOutcome outcome, Consumer<HttpOutcome> callback) {
+    try {
+      callback.accept(outcome);
+    } catch (RuntimeException e) {
+      LogLine.of("response-unusable").error(LOG, e);
+      callback.accept(new HttpOutcome.NoResponse("the response could not be handled: " + e));
+    }
+  }
+
+  private Request jettyRequest(OutgoingRequest request) {
     Request jettyRequest =
         client
             .newRequest("http://" + request.address() + request.path())
@@ -113,13 +151,7 @@
       jettyRequest.body(
           new ByteBufferRequestContent(request.mediaType(), ByteBuffer.wrap(request.body())));
     }
-    jettyRequest.send(
-        new BufferingResponseListener(MAX_RESPONSE_BYTES) {
-          @Override
-          public void onComplete(Result result) {
-            callback.accept(outcome(result, getContent()));
-          }
-        });
+    return jettyRequest;
   }
 
   /**
--- a/runtime/src/main/java/dev/toucanstall/runtime/loop/ControlLoop.java
+++ b/runtime/src/main/java/dev/toucanstall/runtime/loop/ControlLoop.java
@@ -49,8 +49,10 @@
    * @param initial the initial state
    * @param decider the reducer
    * @param interpreter carries out effects; must not block for long
-   * @param failureHandler receives each event whose decision, effects or observer threw; a decision
-   *     that throws leaves the state unchanged
+   * @param failureHandler receives each event whose decision or observer threw, and an event once
+   *     for each of its effects that threw; the other effects are carried out. A decision that
+   *     throws leaves a state unchanged that is replaced by decisions; one that is changed in place
+   *     must be repaired by the reducer
    * @param tickInterval time between ticks
    * @param tickFactory creates a tick event from the time, in nanoseconds of {@link
    *     System#nanoTime}
@@ -73,8 +75,10 @@
    * @param initial the initial state
    * @param decider the reducer
    * @param interpreter carries out effects; must not block for long
-   * @param failureHandler receives each event whose decision, effects or observer threw; a decision
-   *     that throws leaves the state unchanged
+   * @param failureHandler receives each event whose decision or observer threw, and an event once
+   *     for each of its effects that threw; the other effects are carried out. A decision that
+   *     throws leaves a state unchanged that is replaced by decisions; one that is changed in place
+   *     must be repaired by the reducer
    * @param tickInterval returns the time until the next tick
    * @param tickFactory creates a tick event from the time, in nanoseconds of {@link
    *     System#nanoTime}
@@ -188,7 +192,7 @@
       state = decision.state();
       decidedNanos = System.nanoTime();
       for (F effect : decision.effects()) {
-        interpreter.accept(effect);
+        carryOut(effect, event);
       }
     } catch (RuntimeException e) {
       failureHandler.accept(event, e);
@@ -202,6 +206,15 @@
     return endedNanos;
   }
 
+  /** Carries out an effect. One that throws does not keep the others from being carried out. */
+  private void carryOut(F effect, E event) {
+    try {
+      interpreter.accept(effect);
+    } catch (RuntimeException e) {
+      failureHandler.accept(event, e);
+    }
+  }
+
   @Override
   public void close() {
     closed = true;
--- a/runtime/src/test/java/dev/toucanstall/runtime/loop/ControlLoopTest.java
+++ b/runtime/src/test/java/dev/toucanstall/runtime/loop/ControlLoopTest.java
@@ -4,6 +4,7 @@
 
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.List;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.CountDownLatch;
@@ -22,6 +23,7 @@
       String event, long waitNanos, long decisionNanos, long effectNanos) {}
 
   private final BlockingQueue<ObservedEvent> observed = new LinkedBlockingQueue<>();
+  private final List<String> carriedOut = Collections.synchronizedList(new ArrayList<>());
   private final CountDownLatch effectStarted = new CountDownLatch(1);
   private final CountDownLatch effectReleased = new CountDownLatch(1);
 
@@ -30,7 +32,7 @@
         new ControlLoop<>(
             "test",
             0,
-            (state, event) -> new Decision<>(state + 1, List.of(event)),
+            (state, event) -> new Decision<>(state + 1, List.of(event.split("\\+"))),
             this::interpret,
             (event, e) -> {},
             tickInterval,
@@ -43,6 +45,7 @@
   }
 
   private void interpret(String effect) {
+    carriedOut.add(effect);
     if (effect.equals("slow")) {
       effectStarted.countDown();
       awaitQuietly(effectReleased);
@@ -110,6 +113,17 @@
     }
   }
 
+  /** Guards against an effect that throws and costs the other effects of its decision. */
+  @Test
+  void effectsAfterOneThatThrowsAreCarriedOut() throws InterruptedException {
+    try (ControlLoop<Integer, String, String> loop = loop(Duration.ofHours(1))) {
+      loop.start();
+      loop.post("first+bad+bad+last");
+      awaitObserved("first+bad+bad+last");
+      assertThat(carriedOut).containsAtLeast("first", "bad", "bad", "last").inOrder();
+    }
+  }
+
   // A process handled the request to stop seconds late, behind all queued events.
   @Test
   void eventPostedFirstIsHandledAheadOfQueuedEvents() throws Exception {
