Store a job's progress in parts and bound all that is stored

Cause: a job's progress was one record with all begun tasks. Over recordBytes the log service refuses it with 413; Ledger took that for a failure that passes, repeated the append for ever, and everything behind it waited, on each next planner too. Ruled out: the size of a call; the record alone was over the limit of a record.

Change: progress is stored in parts of 100 tasks, of which only changed ones are written; the first keeps its key and form, so records of earlier versions are read. Parts go before the first one, the end of a job goes before the deletion of its parts, and the next planner ends a job whose parts were stored without its end. RecordSize bounds each record without encoding it; an append carries what fits into a call, and actions wait for the last append that they rely on. An append that is refused for its size all the same is halved down to the record, whose job is refused or fails.

--- a/core/src/main/java/dev/toucanstall/core/job/JobAnswer.java
+++ b/core/src/main/java/dev/toucanstall/core/job/JobAnswer.java
@@ -34,6 +34,14 @@
    */
   record Refused(Reason reason, long retryAfterMs) implements JobAnswer {}
 
+  /**
+   * The job was not accepted and never runs, because its record would be larger than the store
+   * takes.
+   *
+   * @param limitBytes largest size of a record, in bytes
+   */
+  record TooLarge(int limitBytes) implements JobAnswer {}
+
   /** The outcome is unknown: the call may have taken effect or may do so later. */
   record Uncertain() implements JobAnswer {}
 
--- a/core/src/main/java/dev/toucanstall/core/job/JobRecord.java
+++ b/core/src/main/java/dev/toucanstall/core/job/JobRecord.java
@@ -23,7 +23,8 @@
       implements JobRecord {}
 
   /**
-   * The progress of a job. Supersedes earlier progress records of the job.
+   * The progress of a job and of the tasks of its first part. Supersedes earlier records of this
+   * kind. Earlier versions stored all tasks here.
    *
    * @param job the job's id
    * @param phase the phase of the job
@@ -39,6 +40,23 @@
     }
   }
 
+  /**
+   * The progress of further tasks of a large job. Supersedes earlier records of the same part; the
+   * tasks of the first part are in {@link Progress}.
+   *
+   * @param job the job's id
+   * @param part number of the part, from 1
+   * @param tasks the progress of the tasks that have been started at least once; empty if the part
+   *     is deleted
+   */
+  record ProgressPart(String job, int part, List<TaskProgress> tasks) implements JobRecord {
+
+    /** Copies the list of tasks. */
+    public ProgressPart {
+      tasks = List.copyOf(tasks);
+    }
+  }
+
   /**
    * A job has ended and none of its runs is left on a backend server. Supersedes all other records
    * of the job.
--- a/core/src/main/java/dev/toucanstall/core/node/Admission.java
+++ b/core/src/main/java/dev/toucanstall/core/node/Admission.java
@@ -5,8 +5,10 @@
 import dev.toucanstall.core.job.JobAnswer;
 import dev.toucanstall.core.job.JobAnswer.Reason;
 import dev.toucanstall.core.job.JobCall;
+import dev.toucanstall.core.job.JobRecord;
 import dev.toucanstall.core.job.JobSpec;
 import dev.toucanstall.core.job.Queue;
+import dev.toucanstall.core.job.RecordSize;
 import dev.toucanstall.core.plan.Now;
 import java.util.Optional;
 import java.util.regex.Pattern;
@@ -52,9 +54,24 @@
       refuse(node, called, Reason.MALFORMED, 0);
       return;
     }
+    if (jobCall.get() instanceof JobCall.Submit submit && isTooLarge(node, submit, queue.get())) {
+      int limitBytes = node.storeLimits.recordBytes();
+      node.logEvent(
+          "job-too-large", "job", submit.job(), "limit-bytes", Integer.toString(limitBytes));
+      node.emit(new NodeEffect.Answer(called.ticket(), new JobAnswer.TooLarge(limitBytes)));
+      return;
+    }
     Delivery.deliver(node, called.ticket(), jobCall.get(), call.waitMs(), now);
   }
 
+  /** Returns whether the record of a submission may be larger than the store takes. */
+  private static boolean isTooLarge(Node node, JobCall.Submit submit, Queue queue) {
+    JobRecord.Submitted record =
+        new JobRecord.Submitted(
+            submit.job(), submit.queue(), queue.service(), submit.account(), 0, submit.spec());
+    return RecordSize.maxBytes(record) > node.storeLimits.recordBytes();
+  }
+
   /**
    * Returns the request to the planner, or empty if the call is malformed. An empty {@code jobId}
    * means the queue itself, an empty {@code accountName} an anonymous client.
--- a/core/src/main/java/dev/toucanstall/core/node/Node.java
+++ b/core/src/main/java/dev/toucanstall/core/node/Node.java
@@ -3,6 +3,7 @@
 import dev.toucanstall.core.job.Catalog;
 import dev.toucanstall.core.job.WaveOrder;
 import dev.toucanstall.core.model.InstanceSize;
+import dev.toucanstall.core.model.StoreLimits;
 import dev.toucanstall.core.plan.Now;
 import dev.toucanstall.core.plan.Plan;
 import dev.toucanstall.core.plan.PlanLoad;
@@ -30,6 +31,7 @@
 
   final String name;
   final InstanceSize size;
+  final StoreLimits storeLimits;
 
   /** The entry instances that follow this one while it is the planner. */
   final Followers followers = new Followers();
@@ -120,14 +122,26 @@
   }
 
   /**
-   * Creates the initial state of an entry instance.
+   * Creates the initial state of an entry instance over a store with the usual limits.
    *
    * @param name the instance's name
    * @param size resources of the machine that the instance may use
    */
   public Node(String name, InstanceSize size) {
+    this(name, size, StoreLimits.DEFAULT);
+  }
+
+  /**
+   * Creates the initial state of an entry instance.
+   *
+   * @param name the instance's name
+   * @param size resources of the machine that the instance may use
+   * @param storeLimits limits of the store
+   */
+  public Node(String name, InstanceSize size, StoreLimits storeLimits) {
     this.name = name;
     this.size = size;
+    this.storeLimits = storeLimits;
   }
 
   /**
--- a/core/src/main/java/dev/toucanstall/core/node/Terms.java
+++ b/core/src/main/java/dev/toucanstall/core/node/Terms.java
@@ -192,7 +192,14 @@
     }
     Plan plan;
     try {
-      plan = new Plan(elected.epoch(), elected.firstSequence(), catalog, elected.records(), now);
+      plan =
+          new Plan(
+              elected.epoch(),
+              elected.firstSequence(),
+              catalog,
+              elected.records(),
+              now,
+              node.storeLimits);
     } catch (RuntimeException e) {
       recordsUnreadable(node, "records can't be applied: " + describe(e), now);
       return;
--- a/core/src/main/java/dev/toucanstall/core/plan/CallRules.java
+++ b/core/src/main/java/dev/toucanstall/core/plan/CallRules.java
@@ -166,16 +166,20 @@
     if (!plan.ledger.isStoreOut(now)) {
       return;
     }
-    for (Job job : List.copyOf(plan.ledger.unsentSubmissions())) {
-      plan.ledger.withdraw(job);
-      job.tasks().forEach(Task::unbind);
-      job.tasks().forEach(t -> t.setPhase(TaskPhase.DROPPED));
-      plan.close(job);
-      plan.jobs.remove(job.id);
-      job.withdrawn = true;
-      plan.logEvent("job-refused", "job", job.id, "why", "the store did not answer in time");
-      job.submissionTickets.forEach(
-          t -> answer(plan, t, new JobAnswer.Refused(Reason.NO_PLANNER, RETRY_AFTER_MS)));
-    }
+    JobAnswer refusal = new JobAnswer.Refused(Reason.NO_PLANNER, RETRY_AFTER_MS);
+    List.copyOf(plan.ledger.unsentSubmissions())
+        .forEach(job -> refuse(plan, job, refusal, "the store did not answer in time"));
+  }
+
+  /** Takes back a job whose submission is not stored and will not be. */
+  static void refuse(Plan plan, Job job, JobAnswer refusal, String reason) {
+    plan.ledger.withdraw(job);
+    job.tasks().forEach(Task::unbind);
+    job.tasks().forEach(t -> t.setPhase(TaskPhase.DROPPED));
+    plan.close(job);
+    plan.jobs.remove(job.id);
+    job.withdrawn = true;
+    plan.logEvent("job-refused", "job", job.id, "why", reason);
+    job.submissionTickets.forEach(t -> answer(plan, t, refusal));
   }
 }
--- a/core/src/main/java/dev/toucanstall/core/plan/Job.java
+++ b/core/src/main/java/dev/toucanstall/core/plan/Job.java
@@ -2,13 +2,17 @@
 
 import dev.toucanstall.core.job.JobPhase;
 import dev.toucanstall.core.job.JobRecord;
+import dev.toucanstall.core.job.JobRecord.TaskProgress;
 import dev.toucanstall.core.job.JobSpec;
 import dev.toucanstall.core.job.StepSpec;
 import dev.toucanstall.core.job.TaskKey;
 import dev.toucanstall.core.job.TaskPhase;
 import java.util.ArrayList;
+import java.util.BitSet;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
+import java.util.TreeMap;
 import java.util.stream.IntStream;
 import java.util.stream.Stream;
 
@@ -62,6 +66,9 @@
   /** Whether some task waits for capacity only, or for capacity and its start time. */
   boolean hasReadyTask;
 
+  /** Parts in which the progress is stored. */
+  final ProgressParts parts = new ProgressParts();
+
   private int remainingTasks;
 
   /** Counters by occurrence and step. */
@@ -95,12 +102,18 @@
 
   private List<List<Task>> newOccurrence(int occurrence) {
     List<List<Task>> steps = new ArrayList<>();
+    int position = occurrence * spec.steps().stream().mapToInt(StepSpec::count).sum();
     for (int s = 0; s < spec.steps().size(); s++) {
       StepSpec step = spec.steps().get(s);
       List<Task> tasks = new ArrayList<>(step.count());
       for (int i = 0; i < step.count(); i++) {
         tasks.add(
-            new Task(this, new TaskKey(id, occurrence, s, i), step, counts.get(occurrence).get(s)));
+            new Task(
+                this,
+                ProgressParts.partOf(position++),
+                new TaskKey(id, occurrence, s, i),
+                step,
+                counts.get(occurrence).get(s)));
       }
       steps.add(tasks);
     }
@@ -185,12 +198,45 @@
     return new JobRecord.Submitted(id, queue, service, account, submittedMs, spec);
   }
 
-  /** Returns the record that replaces the earlier records of the job's progress. */
-  JobRecord progressRecord() {
+  /**
+   * Returns the records of the changes to the job's progress since the last call, in the order in
+   * which they must be stored: parts before the first part, which an earlier version has stored
+   * with all tasks; the end of the job before the deletion of its parts, without which the tasks in
+   * them would count as not begun.
+   */
+  List<JobRecord> takeProgressRecords() {
     if (phase.ended() && boundTasks == 0) {
-      return new JobRecord.Closed(id, queue, phase, endedMs);
+      JobRecord closed = new JobRecord.Closed(id, queue, phase, endedMs);
+      return Stream.concat(
+              Stream.of(closed),
+              parts.takeStored().stream().filter(p -> p > 0).mapToObj(this::deletedPart))
+          .toList();
     }
-    return new JobRecord.Progress(
-        id, phase, endedMs, tasks().filter(Task::hasBegun).map(Task::progressRecord).toList());
+    Map<Integer, List<TaskProgress>> changed = changedTasks(parts.takeChanged());
+    List<JobRecord> records = new ArrayList<>();
+    changed.forEach(
+        (part, tasks) -> {
+          if (part > 0) {
+            records.add(new JobRecord.ProgressPart(id, part, tasks));
+          }
+        });
+    records.add(new JobRecord.Progress(id, phase, endedMs, changed.getOrDefault(0, List.of())));
+    return records;
+  }
+
+  private JobRecord deletedPart(int part) {
+    return new JobRecord.ProgressPart(id, part, List.of());
+  }
+
+  /** Returns the progress of the tasks of the first part and of the changed parts, by part. */
+  private Map<Integer, List<TaskProgress>> changedTasks(BitSet changed) {
+    Map<Integer, List<TaskProgress>> byPart = new TreeMap<>();
+    int last = Math.max(0, changed.length() - 1);
+    tasks()
+        .takeWhile(t -> t.part <= last)
+        .filter(t -> (t.part == 0 || changed.get(t.part)) && t.hasBegun())
+        .forEach(
+            t -> byPart.computeIfAbsent(t.part, p -> new ArrayList<>()).add(t.progressRecord()));
+    return byPart;
   }
 }
--- a/core/src/main/java/dev/toucanstall/core/plan/JobRules.java
+++ b/core/src/main/java/dev/toucanstall/core/plan/JobRules.java
@@ -1,13 +1,16 @@
 package dev.toucanstall.core.plan;
 
 import dev.toucanstall.core.job.Catalog;
+import dev.toucanstall.core.job.JobAnswer;
 import dev.toucanstall.core.job.JobPhase;
 import dev.toucanstall.core.job.JobRecord;
 import dev.toucanstall.core.job.Queue;
+import dev.toucanstall.core.job.RecordSize;
 import dev.toucanstall.core.job.StepSpec;
 import dev.toucanstall.core.job.TaskPhase;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.function.Consumer;
 import java.util.function.IntToLongFunction;
 
 /** Decides on the progress of jobs: their objectives, their ends and when they are forgotten. */
@@ -145,6 +148,51 @@
     plan.logEvent("job-ended", "job", job.id, "phase", phase.name());
   }
 
+  /**
+   * Handles a record that the store does not take, because it is too large. A job of which nothing
+   * else is stored is refused; the others end, as their tasks can't be started.
+   */
+  static void recordUnstorable(Plan plan, JobRecord record, Now now) {
+    plan.logEvent(
+        "record-too-large",
+        "kind",
+        record.getClass().getSimpleName(),
+        "bytes-at-most",
+        Integer.toString(RecordSize.maxBytes(record)));
+    switch (record) {
+      case JobRecord.Submitted submitted ->
+          withJob(
+              plan,
+              submitted.job(),
+              job ->
+                  CallRules.refuse(
+                      plan,
+                      job,
+                      new JobAnswer.TooLarge(plan.storeLimits.recordBytes()),
+                      "its record is too large"));
+      case JobRecord.Progress progress ->
+          withJob(plan, progress.job(), job -> endFailed(plan, job, now));
+      case JobRecord.ProgressPart part ->
+          withJob(plan, part.job(), job -> endFailed(plan, job, now));
+      default -> {
+        // A later record of the same key replaces it.
+      }
+    }
+  }
+
+  private static void withJob(Plan plan, String id, Consumer<Job> action) {
+    Job job = plan.jobs.get(id);
+    if (job != null) {
+      action.accept(job);
+    }
+  }
+
+  private static void endFailed(Plan plan, Job job, Now now) {
+    if (!job.phase.ended()) {
+      end(plan, job, JobPhase.FAILED, now);
+    }
+  }
+
   /** Takes over a new configuration. Moves each job whose queue is now run by another service. */
   static void catalogChanged(Plan plan, Catalog catalog) {
     plan.catalog = catalog;
--- a/core/src/main/java/dev/toucanstall/core/plan/LeaseRenewalRules.java
+++ b/core/src/main/java/dev/toucanstall/core/plan/LeaseRenewalRules.java
@@ -135,7 +135,7 @@
     Task task = found.get();
     task.percentDone = active.percentDone();
     if (!active.checkpoint().isEmpty()) {
-      task.checkpoint = active.checkpoint();
+      task.setCheckpoint(active.checkpoint());
     }
     if (task.phase == TaskPhase.ORDERED) {
       task.setPhase(TaskPhase.RUNNING);
@@ -196,7 +196,7 @@
       return;
     }
     if (!finished.saved().isEmpty()) {
-      task.checkpoint = finished.saved();
+      task.setCheckpoint(finished.saved());
     }
     switch (finished.how()) {
       case DONE -> {
--- a/core/src/main/java/dev/toucanstall/core/plan/Ledger.java
+++ b/core/src/main/java/dev/toucanstall/core/plan/Ledger.java
@@ -1,7 +1,11 @@
 package dev.toucanstall.core.plan;
 
 import dev.toucanstall.core.job.JobRecord;
+import dev.toucanstall.core.job.RecordSize;
+import java.util.ArrayDeque;
 import java.util.ArrayList;
+import java.util.Deque;
+import java.util.Iterator;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Set;
@@ -65,6 +69,15 @@
   /** Epoch of the planner's term, the fencing token of each append. */
   private final long epoch;
 
+  /** Most bytes of the records of one append. */
+  private final int maxAppendBytes;
+
+  /** Records of changes that did not fit into the last append. */
+  private final Deque<JobRecord> overflow = new ArrayDeque<>();
+
+  /** Records that are larger than the store takes. */
+  private final List<JobRecord> unstorable = new ArrayList<>();
+
   /** Jobs whose submission no append has carried. */
   private final Set<Job> submitted = new LinkedHashSet<>();
 
@@ -103,9 +116,11 @@
    * @param epoch epoch of the planner's term
    * @param firstSequence number of the first append
    * @param nowMs start of the term, in milliseconds of the monotonic clock
+   * @param maxAppendBytes most bytes of the records of one append
    */
-  Ledger(long epoch, long firstSequence, long nowMs) {
+  Ledger(long epoch, long firstSequence, long nowMs, int maxAppendBytes) {
     this.epoch = epoch;
+    this.maxAppendBytes = maxAppendBytes;
     this.nextSequence = firstSequence;
     this.confirmedMs = nowMs;
     this.lastSentMs = nowMs;
@@ -188,6 +203,7 @@
         current.actions.forEach(action -> action.run(now, out));
       }
       case FENCED -> out.accept(new PlanEffect.Resign("the store refused the fencing token"));
+      case TOO_LARGE -> appendTooLarge(current, out);
       default -> {
         failedAttempts++;
         retryAtMs = now.steadyMs() + RETRY_PAUSE_MS;
@@ -195,6 +211,34 @@
     }
   }
 
+  /**
+   * Handles an append that the store never takes: sends the first half of its records under the
+   * same number, or gives up its only record. The actions wait for the other records.
+   */
+  private void appendTooLarge(PendingAppend current, Consumer<PlanEffect> out) {
+    List<JobRecord> records = current.records;
+    actions.addAll(0, current.actions);
+    if (records.size() <= 1) {
+      unstorable.addAll(records);
+      pending = null;
+      nextSequence = records.isEmpty() ? nextSequence : current.sequence;
+      return;
+    }
+    int half = records.size() / 2;
+    records.subList(half, records.size()).reversed().forEach(overflow::addFirst);
+    pending =
+        new PendingAppend(
+            current.sequence, records.subList(0, half), List.of(), current.firstSentMs);
+    out.accept(new PlanEffect.Append(epoch, current.sequence, records.subList(0, half)));
+  }
+
+  /** Removes and returns the records that the store does not take, because they are too large. */
+  List<JobRecord> takeUnstorable() {
+    List<JobRecord> taken = List.copyOf(unstorable);
+    unstorable.clear();
+    return taken;
+  }
+
   /**
    * Sends what is due: another attempt of the append under way, else the changes, else a
    * confirmation.
@@ -208,7 +252,7 @@
       retryIfDue(current, now, out);
       return;
     }
-    if (submitted.isEmpty() && changed.isEmpty() && otherRecords.isEmpty()) {
+    if (!hasChanges()) {
       List<StoredAction> dueActions = actions;
       actions = new ArrayList<>();
       dueActions.forEach(action -> action.run(now, out));
@@ -218,11 +262,23 @@
       return;
     }
     if (now.steadyMs() - lastSentMs >= MIN_APPEND_INTERVAL_MS) {
-      send(new PendingAppend(nextSequence++, takeRecords(), actions, now.steadyMs()), now, out);
-      actions = new ArrayList<>();
+      List<JobRecord> records = takeRecords();
+      List<StoredAction> dueActions = List.of();
+      if (!hasChanges()) {
+        dueActions = actions;
+        actions = new ArrayList<>();
+      }
+      send(new PendingAppend(nextSequence++, records, dueActions, now.steadyMs()), now, out);
     }
   }
 
+  private boolean hasChanges() {
+    return !(overflow.isEmpty()
+        && submitted.isEmpty()
+        && changed.isEmpty()
+        && otherRecords.isEmpty());
+  }
+
   private void retryIfDue(PendingAppend current, Now now, Consumer<PlanEffect> out) {
     if (retryAtMs > 0 && now.steadyMs() >= retryAtMs) {
       retryAtMs = 0;
@@ -238,14 +294,51 @@
     out.accept(new PlanEffect.Append(epoch, next.sequence, next.records));
   }
 
-  /** Takes the records of all changes. Submissions come before the progress of the same job. */
+  /**
+   * Takes the records of changes, as many as one append may carry and at least one. Submissions
+   * come before the progress of the same job; what is left over stays ahead of later changes.
+   */
   private List<JobRecord> takeRecords() {
-    List<JobRecord> records = new ArrayList<>(otherRecords);
-    otherRecords.clear();
-    submitted.forEach(job -> records.add(job.submissionRecord()));
-    submitted.clear();
-    changed.forEach(job -> records.add(job.progressRecord()));
-    changed.clear();
-    return records;
+    List<JobRecord> records = new ArrayList<>();
+    int bytes = 0;
+    while (true) {
+      JobRecord next = overflow.isEmpty() ? null : overflow.peek();
+      if (next == null && !collectNextChange()) {
+        return records;
+      }
+      if (next == null) {
+        continue;
+      }
+      bytes += RecordSize.maxBytes(next);
+      if (bytes > maxAppendBytes && !records.isEmpty()) {
+        return records;
+      }
+      records.add(overflow.remove());
+    }
+  }
+
+  /** Moves the records of one change to the overflow; returns false if there is no change. */
+  private boolean collectNextChange() {
+    if (!otherRecords.isEmpty()) {
+      overflow.addAll(otherRecords);
+      otherRecords.clear();
+      return true;
+    }
+    if (!submitted.isEmpty()) {
+      overflow.add(takeFirst(submitted).submissionRecord());
+      return true;
+    }
+    if (!changed.isEmpty()) {
+      overflow.addAll(takeFirst(changed).takeProgressRecords());
+      return true;
+    }
+    return false;
+  }
+
+  private static Job takeFirst(Set<Job> jobs) {
+    Iterator<Job> all = jobs.iterator();
+    Job first = all.next();
+    all.remove();
+    return first;
   }
 }
--- a/core/src/main/java/dev/toucanstall/core/plan/MachineMoves.java
+++ b/core/src/main/java/dev/toucanstall/core/plan/MachineMoves.java
@@ -2,6 +2,7 @@
 
 import dev.toucanstall.core.job.JobRecord;
 import dev.toucanstall.core.job.JobRecord.MachineMove;
+import dev.toucanstall.core.job.RecordSize;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
@@ -13,6 +14,9 @@
  */
 final class MachineMoves {
 
+  /** Largest size of an order in its record, in bytes. */
+  private static final int MAX_MOVE_BYTES = 2_000;
+
   /** Order to move a machine to another pool, until its outcome is final. */
   static final class Move {
 
@@ -107,6 +111,11 @@
         open.values().stream().map(m -> new MachineMove(m.machine, m.service, m.server)).toList());
   }
 
+  /** Returns whether the record of the open orders has room for one more, as far as known. */
+  boolean hasRoom(int recordBytes) {
+    return RecordSize.maxBytes(openMovesRecord()) + MAX_MOVE_BYTES <= recordBytes;
+  }
+
   /** Returns whether an open order may end a backend server. */
   boolean mayEnd(String server) {
     return open.values().stream().anyMatch(m -> m.server.equals(server));
--- a/core/src/main/java/dev/toucanstall/core/plan/Plan.java
+++ b/core/src/main/java/dev/toucanstall/core/plan/Plan.java
@@ -6,6 +6,7 @@
 import dev.toucanstall.core.job.Queue;
 import dev.toucanstall.core.job.Resources;
 import dev.toucanstall.core.job.TaskPhase;
+import dev.toucanstall.core.model.StoreLimits;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
@@ -34,6 +35,8 @@
   /** Epoch of the term, used as the fencing token. */
   final long epoch;
 
+  final StoreLimits storeLimits;
+
   /** Writer of the changes to the store. */
   final Ledger ledger;
 
@@ -93,7 +96,7 @@
   PassProbe probe = PassProbe.NONE;
 
   /**
-   * Creates the state of a new term from the stored records.
+   * Creates the state of a new term over a store with the usual limits.
    *
    * @param epoch epoch of the term, used as the fencing token
    * @param firstSequence number of the first append
@@ -102,9 +105,30 @@
    * @param now start of the term
    */
   public Plan(long epoch, long firstSequence, Catalog catalog, List<JobRecord> records, Now now) {
+    this(epoch, firstSequence, catalog, records, now, StoreLimits.DEFAULT);
+  }
+
+  /**
+   * Creates the state of a new term from the stored records.
+   *
+   * @param epoch epoch of the term, used as the fencing token
+   * @param firstSequence number of the first append
+   * @param catalog the configuration
+   * @param records the newest record of each key, submissions before progress
+   * @param now start of the term
+   * @param storeLimits limits of the store
+   */
+  public Plan(
+      long epoch,
+      long firstSequence,
+      Catalog catalog,
+      List<JobRecord> records,
+      Now now,
+      StoreLimits storeLimits) {
     this.epoch = epoch;
     this.catalog = catalog;
-    this.ledger = new Ledger(epoch, firstSequence, now.steadyMs());
+    this.storeLimits = storeLimits;
+    this.ledger = new Ledger(epoch, firstSequence, now.steadyMs(), storeLimits.callBytes());
     this.termStartMs = now.steadyMs();
     Recovery.restore(this, records, now);
     JobRules.catalogChanged(this, catalog);
--- a/core/src/main/java/dev/toucanstall/core/plan/PlanReducer.java
+++ b/core/src/main/java/dev/toucanstall/core/plan/PlanReducer.java
@@ -44,7 +44,10 @@
       case PlanEvent.Tick tick -> JobRules.sweep(plan, now);
       case PlanEvent.Called called -> CallRules.decide(plan, called, now);
       case PlanEvent.CatalogChanged changed -> JobRules.catalogChanged(plan, changed.catalog());
-      case PlanEvent.Appended appended -> plan.ledger.appendEnded(appended, now, plan.emitter());
+      case PlanEvent.Appended appended -> {
+        plan.ledger.appendEnded(appended, now, plan.emitter());
+        plan.ledger.takeUnstorable().forEach(r -> JobRules.recordUnstorable(plan, r, now));
+      }
       case PlanEvent.ServersRead read -> ServerRules.serversRead(plan, read, now);
       case PlanEvent.Held held -> LeaseRenewalRules.renewalEnded(plan, held, now);
       case PlanEvent.Started started -> OrderRules.started(plan, started, now);
--- a/core/src/main/java/dev/toucanstall/core/plan/PoolRebalancing.java
+++ b/core/src/main/java/dev/toucanstall/core/plan/PoolRebalancing.java
@@ -207,8 +207,14 @@
         : plan.machines.isInHomePool(machine) ? MIN_HOME_IDLE_MS : MIN_IDLE_MS;
   }
 
-  /** Adds an order to move a machine, which is sent once the intent is stored. */
+  /**
+   * Adds an order to move a machine, which is sent once the intent is stored; adds none while the
+   * record of open orders has no room for it.
+   */
   private static void addOrder(Plan plan, MachineEntry machine, String service, String reason) {
+    if (!plan.moves.hasRoom(plan.storeLimits.recordBytes())) {
+      return;
+    }
     Server server = plan.servers.get(machine.serverId());
     if (server != null) {
       server.moving = true;
--- a/core/src/main/java/dev/toucanstall/core/plan/Recovery.java
+++ b/core/src/main/java/dev/toucanstall/core/plan/Recovery.java
@@ -30,7 +30,7 @@
    * Applies the records to a new state.
    *
    * @param plan the state
-   * @param records the newest record of each key, submissions before progress
+   * @param records the newest record of each key, submissions before progress and parts of it last
    * @param now start of the term
    */
   static void restore(Plan plan, List<JobRecord> records, Now now) {
@@ -39,12 +39,14 @@
         case JobRecord.Submitted submitted -> JobRules.add(plan, new Job(plan, submitted));
         case JobRecord.Closed closed -> restore(plan, closed);
         case JobRecord.Progress progress -> restore(plan, progress, now);
+        case JobRecord.ProgressPart part -> restore(plan, part, now);
         case JobRecord.WaveProgress progress ->
             plan.machines.maintenanceBegun(progress.wave()).addAll(progress.begun());
         case JobRecord.OpenMoves open -> open.moves().forEach(m -> plan.moves.restore(m, now));
         case JobRecord.Forgotten forgotten -> plan.jobs.remove(forgotten.job());
       }
     }
+    List.copyOf(plan.jobs.values()).forEach(job -> settle(plan, job, now));
   }
 
   /** Restores a closed job, which is remembered for queries only. */
@@ -69,20 +71,39 @@
     }
     job.phase = progress.phase();
     job.endedMs = progress.endedMs();
-    for (TaskProgress recorded : progress.tasks()) {
+    restore(plan, job, progress.tasks(), now);
+  }
+
+  /**
+   * Restores a part of the progress of a large job. Deletes it if the job has ended: the planner
+   * that stored the end had no time to.
+   */
+  private static void restore(Plan plan, JobRecord.ProgressPart part, Now now) {
+    Job job = plan.jobs.get(part.job());
+    if (job == null || !job.isOpen) {
+      plan.ledger.addRecord(new JobRecord.ProgressPart(part.job(), part.part(), List.of()));
+      return;
+    }
+    job.parts.stored(part.part());
+    if (!part.tasks().isEmpty()) {
+      job.markRunning();
+    }
+    restore(plan, job, part.tasks(), now);
+  }
+
+  private static void restore(Plan plan, Job job, List<TaskProgress> tasks, Now now) {
+    for (TaskProgress recorded : tasks) {
       TaskKey key = new TaskKey(job.id, recorded.occurrence(), recorded.step(), recorded.index());
       job.find(key).ifPresent(task -> restore(plan, task, recorded, now));
     }
-    if (job.phase.ended() && job.boundTasks == 0) {
-      plan.close(job);
-    }
   }
 
   /** Restores the progress of a task. Its start may be unanswered as far as this planner knows. */
   private static void restore(Plan plan, Task task, TaskProgress recorded, Now now) {
+    task.unbind();
     task.run = recorded.run();
     task.failures = recorded.failures();
-    task.checkpoint = recorded.saved();
+    task.setCheckpoint(recorded.saved());
     task.setPhase(restoredPhase(task, recorded.phase()));
     if (!task.phase.bound()) {
       return;
@@ -95,6 +116,16 @@
             recorded.server(), id -> unlistedServer(id, recorded, task, now)));
   }
 
+  /**
+   * Closes a restored job that has ended, and ends one whose tasks are all done: the parts of its
+   * progress may have been stored without its end.
+   */
+  private static void settle(Plan plan, Job job, Now now) {
+    if (job.isOpen && (job.phase.ended() || job.allDone())) {
+      JobRules.completeIfDone(plan, job, now);
+    }
+  }
+
   /**
    * Returns the phase in which a task is restored.
    *
--- a/core/src/main/java/dev/toucanstall/core/plan/StoreResult.java
+++ b/core/src/main/java/dev/toucanstall/core/plan/StoreResult.java
@@ -9,5 +9,7 @@
   /** The call may have taken effect, or may yet. */
   MAYBE,
   /** The call has not taken effect, because another planner has taken over. */
-  FENCED
+  FENCED,
+  /** The call has not taken effect and never can: its records are larger than the store takes. */
+  TOO_LARGE
 }
--- a/core/src/main/java/dev/toucanstall/core/plan/Task.java
+++ b/core/src/main/java/dev/toucanstall/core/plan/Task.java
@@ -19,6 +19,9 @@
 
   final StepCounts counts;
 
+  /** Number of the part of the job's progress that holds the task's. */
+  final int part;
+
   /** Phase of the task; changed by {@link #setPhase} only. */
   TaskPhase phase = TaskPhase.WAITING;
 
@@ -27,7 +30,7 @@
 
   int failures;
 
-  /** Newest checkpoint, empty if none. */
+  /** Newest checkpoint, empty if none; changed by {@link #setCheckpoint} only. */
   String checkpoint = "";
 
   /** Backend server that the newest run is bound to, null if none. */
@@ -72,8 +75,9 @@
   /** Ids of the backend servers on which the task has failed. */
   final Set<String> avoidedServers = new HashSet<>();
 
-  Task(Job job, TaskKey key, StepSpec step, StepCounts counts) {
+  Task(Job job, int part, TaskKey key, StepSpec step, StepCounts counts) {
     this.job = job;
+    this.part = part;
     this.key = key;
     this.step = step;
     this.counts = counts;
@@ -84,11 +88,20 @@
     TaskPhase previous = phase;
     if (previous != next) {
       phase = next;
+      job.parts.changed(part);
       counts.phaseChanged(previous, next);
       job.taskPhaseChanged(previous, next);
     }
   }
 
+  /** Sets the newest checkpoint, which is stored with the job's next change. */
+  void setCheckpoint(String next) {
+    if (!next.equals(checkpoint)) {
+      checkpoint = next;
+      job.parts.changed(part);
+    }
+  }
+
   /** Binds the task to a backend server and adds its resources to the account's quota. */
   void bind(Server newServer) {
     server = newServer;
--- a/core/src/test/java/dev/toucanstall/core/node/NodeTest.java
+++ b/core/src/test/java/dev/toucanstall/core/node/NodeTest.java
@@ -13,6 +13,7 @@
 import dev.toucanstall.core.job.StepSpec;
 import dev.toucanstall.core.model.Address;
 import dev.toucanstall.core.model.InstanceSize;
+import dev.toucanstall.core.model.StoreLimits;
 import dev.toucanstall.core.plan.Now;
 import dev.toucanstall.core.plan.PlanEffect;
 import dev.toucanstall.core.plan.PlanEvent;
@@ -248,6 +249,23 @@
     assertThat(answer(1)).hasValue(new JobAnswer.Accepted());
   }
 
+  /** Guards against accepting a job whose record the store does not take. */
+  @Test
+  void jobWithTooLargeRecordIsRefusedAtOnceWithTheLimit() {
+    Node small = new Node("n1", InstanceSize.UNKNOWN, new StoreLimits(3_000, 100_000));
+    JobSpec fits = new JobSpec("x".repeat(300), List.of(STEP), 1, 0, 0);
+    JobSpec tooLarge = new JobSpec("x".repeat(3_000), List.of(STEP), 1, 0, 0);
+    Now now = new Now(nowMs, wallMs);
+    NodeReducer.reduce(small, new NodeEvent.CatalogRead(nowMs, catalog(1, "key")), now);
+    for (JobSpec spec : List.of(fits, tooLarge)) {
+      ClientCall call =
+          new ClientCall(ClientCall.Kind.SUBMIT, "h", "/q/" + JOB, "key", 3_000, spec, "");
+      effects.addAll(NodeReducer.reduce(small, new NodeEvent.Called(1, call), now));
+    }
+    assertThat(effects).contains(new NodeEffect.Answer(1, refusal(Reason.NO_PLANNER, 1_000)));
+    assertThat(effects).contains(new NodeEffect.Answer(1, new JobAnswer.TooLarge(3_000)));
+  }
+
   /**
    * Guards against a planner that goes on with a state which a decision left half changed when it
    * threw.
--- a/core/src/test/java/dev/toucanstall/core/plan/PlanSimulation.java
+++ b/core/src/test/java/dev/toucanstall/core/plan/PlanSimulation.java
@@ -9,11 +9,14 @@
 import dev.toucanstall.core.job.JobSpec;
 import dev.toucanstall.core.job.MachineEntry;
 import dev.toucanstall.core.job.Queue;
+import dev.toucanstall.core.job.RecordSize;
 import dev.toucanstall.core.job.Resources;
 import dev.toucanstall.core.job.ServerEntry;
 import dev.toucanstall.core.job.StepSpec;
 import dev.toucanstall.core.job.TaskKey;
+import dev.toucanstall.core.model.StoreLimits;
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
@@ -25,6 +28,7 @@
 import java.util.Random;
 import java.util.Set;
 import java.util.function.Consumer;
+import java.util.function.Predicate;
 import java.util.function.Supplier;
 import java.util.function.ToLongFunction;
 import java.util.stream.Stream;
@@ -190,6 +194,13 @@
   long moveDurationMs = 1_500;
 
   boolean storeAvailable = true;
+  StoreLimits storeLimits = StoreLimits.DEFAULT;
+
+  /** Records that the store refuses as too large whatever their size. */
+  Predicate<JobRecord> refusesRecord = record -> false;
+
+  /** Number of appends that the store has refused as too large. */
+  int refusedAppends;
 
   /** Lowest epoch whose appends the store accepts. */
   long lowestEpoch;
@@ -287,7 +298,7 @@
    */
   Planner electPlanner() {
     fence(lowestEpoch + 1);
-    Planner next = new Planner(new Plan(lowestEpoch, 1, catalog(), records(), now()));
+    Planner next = new Planner(new Plan(lowestEpoch, 1, catalog(), records(), now(), storeLimits));
     planner = next;
     next.handle(serversRead(true));
     return next;
@@ -303,11 +314,15 @@
     return lowestEpoch;
   }
 
-  /** Returns the newest record of each key, submissions first. */
+  /** Returns the newest record of each key, submissions first and parts of progress last. */
   List<JobRecord> records() {
-    return Stream.concat(
-            stored.values().stream().filter(r -> r instanceof JobRecord.Submitted),
-            stored.values().stream().filter(r -> !(r instanceof JobRecord.Submitted)))
+    return stored.values().stream()
+        .sorted(
+            Comparator.comparingInt(
+                r ->
+                    r instanceof JobRecord.Submitted
+                        ? 0
+                        : r instanceof JobRecord.ProgressPart ? 2 : 1))
         .toList();
   }
 
@@ -593,16 +608,33 @@
     if (append.records().isEmpty() || append.sequence() == lastSequence) {
       return StoreResult.DONE;
     }
+    if (append.records().stream().mapToInt(RecordSize::maxBytes).sum() > storeLimits.callBytes()
+        || append.records().stream().anyMatch(this::isTooLarge)) {
+      refusedAppends++;
+      return StoreResult.TOO_LARGE;
+    }
     lastSequence = append.sequence();
     append.records().forEach(this::store);
     return StoreResult.DONE;
   }
 
+  private boolean isTooLarge(JobRecord record) {
+    return RecordSize.maxBytes(record) > storeLimits.recordBytes() || refusesRecord.test(record);
+  }
+
   /** Stores a record under its key, and removes the records that it replaces. */
   private void store(JobRecord record) {
     switch (record) {
       case JobRecord.Submitted s -> stored.put("s/" + s.job(), s);
       case JobRecord.Progress p -> stored.put("p/" + p.job(), p);
+      case JobRecord.ProgressPart p -> {
+        String key = "p/" + p.job() + "/" + p.part();
+        if (p.tasks().isEmpty()) {
+          stored.remove(key);
+        } else {
+          stored.put(key, p);
+        }
+      }
       case JobRecord.Closed c -> {
         stored.remove("s/" + c.job());
         stored.put("p/" + c.job(), c);
--- a/wire/src/test/java/dev/toucanstall/wire/job/JobCodecTest.java
+++ b/wire/src/test/java/dev/toucanstall/wire/job/JobCodecTest.java
@@ -7,10 +7,12 @@
 import dev.toucanstall.core.job.JobPhase;
 import dev.toucanstall.core.job.JobRecord;
 import dev.toucanstall.core.job.JobSpec;
+import dev.toucanstall.core.job.RecordSize;
 import dev.toucanstall.core.job.Resources;
 import dev.toucanstall.core.job.StepSpec;
 import dev.toucanstall.core.job.TaskPhase;
 import dev.toucanstall.core.model.Address;
+import dev.toucanstall.core.model.StoreLimits;
 import dev.toucanstall.core.node.Leader;
 import dev.toucanstall.core.node.NodeMessage;
 import dev.toucanstall.wire.Decoded;
@@ -49,9 +51,81 @@
           1_000,
           50);
 
+  /** Returns the progress of a task whose texts have the largest length that is accepted. */
+  private static JobRecord.TaskProgress largestTask(int index) {
+    return new JobRecord.TaskProgress(
+        1_000,
+        63,
+        index,
+        TaskPhase.STOPPING,
+        Long.MAX_VALUE,
+        "i".repeat(200),
+        "h".repeat(253) + ":65535",
+        Long.MAX_VALUE,
+        Integer.MAX_VALUE,
+        "€".repeat(256));
+  }
+
+  /** Guards against a bound of a record's size that is below the size of the record. */
+  @ParameterizedTest
+  @MethodSource({"records", "largestRecords"})
+  void recordIsWithinItsSizeBound(JobRecord record) {
+    int keyBytes = 64;
+    assertThat(JobCodec.RECORDS.encode(record).length + keyBytes)
+        .isAtMost(RecordSize.maxBytes(record));
+  }
+
+  static Stream<JobRecord> largestRecords() {
+    List<JobRecord.TaskProgress> tasks =
+        IntStream.range(0, 100).mapToObj(JobCodecTest::largestTask).toList();
+    StepSpec step = SPEC.steps().getFirst();
+    StepSpec largestStep =
+        new StepSpec(
+            20_000,
+            new Resources(Long.MAX_VALUE, Long.MAX_VALUE, Long.MAX_VALUE),
+            Long.MAX_VALUE,
+            IntStream.range(0, 63).boxed().toList(),
+            true,
+            true,
+            true,
+            "€".repeat(200),
+            step.rack(),
+            Integer.MAX_VALUE,
+            true,
+            true,
+            step.image(),
+            Long.MAX_VALUE,
+            true,
+            Integer.MAX_VALUE);
+    JobSpec spec =
+        new JobSpec(
+            "€".repeat(1_333),
+            IntStream.range(0, 64).mapToObj(i -> largestStep).toList(),
+            Integer.MAX_VALUE,
+            Long.MAX_VALUE,
+            Long.MAX_VALUE);
+    return Stream.of(
+        new JobRecord.Submitted("0123456789abcdef", "q", "s", "a", Long.MAX_VALUE, spec),
+        new JobRecord.Progress("0123456789abcdef", JobPhase.CANCELLED, Long.MAX_VALUE, tasks),
+        new JobRecord.ProgressPart("0123456789abcdef", 199, tasks),
+        new JobRecord.WaveProgress(1, List.of("€".repeat(200))),
+        new JobRecord.OpenMoves(
+            List.of(new JobRecord.MachineMove("m".repeat(200), "s".repeat(200), "i".repeat(200)))));
+  }
+
+  /** Guards against a part of a job's progress that is larger than a record of the usual limit. */
+  @Test
+  void largestPartOfProgressFitsIntoOneRecord() {
+    largestRecords()
+        .filter(r -> r instanceof JobRecord.ProgressPart || r instanceof JobRecord.Progress)
+        .forEach(
+            r -> assertThat(RecordSize.maxBytes(r)).isAtMost(StoreLimits.DEFAULT.recordBytes()));
+  }
+
   static Stream<JobRecord> records() {
     return Stream.of(
         new JobRecord.Submitted("j", "q", "s", "a", 5, SPEC),
+        new JobRecord.ProgressPart("j", 2, List.of()),
         new JobRecord.Progress(
             "j",
             JobPhase.RUNNING,
