Bound leases by the planner's last confirmation and count missing workers as gone

Cause: a planner that can't reach a worker allowed 10.2 s from its own start for renewals by its predecessor (4 s without a confirmation and a lease of 6 s). Ruled out: capacity and placement; a worker that is lost just before its first answer (these had left before the first list).

Change: a lease ends at most 6.3 s after the confirmation of the planner that gave it, and a successor counts from the moment at which the store had fenced that planner. While all followers say that they don't reach the store, so that none can be elected, leases are prolonged up to 10 s; an instance that the last planner counted and that offered to plan all the time knows that this has not happened (PredecessorContact). A worker that has not answered this planner and whose entry is missing for 4 s counts as gone, as the protocol says of entries that stay away after the store's return. A lease counts from the earliest time that the worker's clock may show. Leases are 5.5 s in place of 6 s, so that a crash, which is only noticed by the lease now, costs less.

Failed before: tasksOfServerThatLeftBeforeNextPlannerReadTheListAreStartedSoon, tasksOfServerLostWithThePlannerAreStartedWithinNineSeconds. completionListedBeforeNextStart... hung on the length of a lease; it now delays the store's answer to hold back the second start.

--- a/core/src/main/java/dev/toucanstall/core/node/Candidacy.java
+++ b/core/src/main/java/dev/toucanstall/core/node/Candidacy.java
@@ -150,6 +150,9 @@
       node.emit(new NodeEffect.SetGroupMembership(eligible));
     }
     double cores = isFit(node, now) ? node.size.cores() : 0;
+    if (cores <= 0) {
+      node.predecessorContact.offersNothing(now);
+    }
     if (cores != offeredCores) {
       offeredCores = cores;
       node.emit(new NodeEffect.OfferCores(cores));
--- a/core/src/main/java/dev/toucanstall/core/node/Followers.java
+++ b/core/src/main/java/dev/toucanstall/core/node/Followers.java
@@ -15,6 +15,12 @@
   /** Time after the last ping when a follower counts as unresponsive, in milliseconds. */
   private static final long PING_TIMEOUT_MS = 1_000;
 
+  /**
+   * Time for which a follower counts after its last ping, in milliseconds: longer than {@link
+   * PredecessorContact#VALIDITY_MS}.
+   */
+  static final long RETENTION_MS = 15_000;
+
   /** Time for which a follower must have been fit to plan before it is chosen, in milliseconds. */
   private static final long MIN_STABLE_MS = 1_000;
 
@@ -28,11 +34,23 @@
    */
   private record Follower(double cores, long stableSinceMs, long lastPingMs) {}
 
+  /**
+   * The last ping over a link.
+   *
+   * @param cores processor capacity that it offered, 0 if its sender is not fit to plan
+   * @param atMs time of the ping, in milliseconds of the monotonic clock
+   */
+  private record LastPing(double cores, long atMs) {}
+
   private final Map<Long, Follower> byLink = new HashMap<>();
 
+  /** Last pings by link, also of followers that are not fit to plan or don't ping any more. */
+  private final Map<Long, LastPing> lastPings = new HashMap<>();
+
   /** Removes all followers, at the beginning of a term. */
   void clear() {
     byLink.clear();
+    lastPings.clear();
   }
 
   /**
@@ -43,6 +61,7 @@
    * @param nowMs current time, in milliseconds of the monotonic clock
    */
   void recordPing(long link, double cores, long nowMs) {
+    lastPings.put(link, new LastPing(cores, nowMs));
     byLink.values().removeIf(f -> nowMs - f.lastPingMs > PING_TIMEOUT_MS);
     if (cores <= 0) {
       byLink.remove(link);
@@ -54,6 +73,19 @@
     byLink.put(link, new Follower(cores, stableSinceMs, nowMs));
   }
 
+  /**
+   * Returns whether each follower says that it is not fit to plan, as it does while it can't reach
+   * the store. One that was lost lately says nothing, and may be elected.
+   *
+   * @param nowMs current time, in milliseconds of the monotonic clock
+   * @return true if no follower that has pinged within {@link #RETENTION_MS} can be elected
+   */
+  boolean noneFit(long nowMs) {
+    lastPings.values().removeIf(ping -> nowMs - ping.atMs > RETENTION_MS);
+    return lastPings.values().stream()
+        .allMatch(ping -> ping.cores <= 0 && nowMs - ping.atMs <= PING_TIMEOUT_MS);
+  }
+
   /**
    * Returns the follower that should plan in place of this instance: the one with the largest
    * processor capacity, if its capacity is much larger than this instance's own.
--- a/core/src/main/java/dev/toucanstall/core/node/Node.java
+++ b/core/src/main/java/dev/toucanstall/core/node/Node.java
@@ -46,6 +46,8 @@
 
   final Candidacy candidacy = new Candidacy();
 
+  final PredecessorContact predecessorContact = new PredecessorContact();
+
   final Map<Integer, WaveOrder> wavesByNumber = new LinkedHashMap<>();
 
   /** The latest configuration, null until one has been read. */
--- a/core/src/main/java/dev/toucanstall/core/node/NodeEvent.java
+++ b/core/src/main/java/dev/toucanstall/core/node/NodeEvent.java
@@ -143,8 +143,18 @@
    * @param epoch epoch of the new term, which is also its fencing token
    * @param firstSequence sequence number of the first append of the term
    * @param records the latest record of each key, submissions before progress
+   * @param predecessor epoch of the last planner, 0 if there was none, -1 if unknown
+   * @param fencedMs time at which the store had fenced the last planner, in milliseconds of the
+   *     monotonic clock
    */
-  record Elected(long epoch, long firstSequence, List<JobRecord> records) implements NodeEvent {
+  record Elected(
+      long epoch, long firstSequence, List<JobRecord> records, long predecessor, long fencedMs)
+      implements NodeEvent {
+
+    /** Creates an event that tells nothing of the last planner. */
+    public Elected(long epoch, long firstSequence, List<JobRecord> records) {
+      this(epoch, firstSequence, records, -1, 0);
+    }
 
     /** Copies the list of records. */
     public Elected {
--- a/core/src/main/java/dev/toucanstall/core/node/NodeReducer.java
+++ b/core/src/main/java/dev/toucanstall/core/node/NodeReducer.java
@@ -59,6 +59,7 @@
   }
 
   private static void tick(Node node, Now now) {
+    Terms.updateStoreOutage(node, now);
     Terms.applyToPlan(node, new PlanEvent.Tick(), now);
     Delivery.expire(node, now);
     Delivery.sendWaiting(node, now);
--- a/core/src/main/java/dev/toucanstall/core/node/Terms.java
+++ b/core/src/main/java/dev/toucanstall/core/node/Terms.java
@@ -77,6 +77,7 @@
     Plan plan = node.plan;
     if (plan != null) {
       node.followers.recordPing(pinged.link(), pinged.cores(), now.steadyMs());
+      updateStoreOutage(node, now);
       Optional<Long> successor =
           node.stopping || plan.isStoreFailing(now)
               ? node.followers.findLargest(now.steadyMs())
@@ -86,6 +87,14 @@
     node.emit(new NodeEffect.AnswerPing(pinged.link(), reportsPlanning(node, now), yields));
   }
 
+  /** Tells the planner of this instance whether any of its followers may be elected. */
+  static void updateStoreOutage(Node node, Now now) {
+    Plan plan = node.plan;
+    if (plan != null) {
+      plan.setStoreAwayForAll(node.followers.noneFit(now.steadyMs()));
+    }
+  }
+
   /**
    * Handles a report of the current planner, and takes over if the planner asks for it. Reports of
    * earlier planners are ignored, as they say nothing about the current one.
@@ -96,6 +105,9 @@
       return;
     }
     node.leaderReportsPlanning = ponged.plans();
+    if (ponged.plans()) {
+      node.predecessorContact.counted(leader.epoch(), now);
+    }
     node.leaderLastHeardMs = now.steadyMs();
     node.leaderReportDeadlineMs = 0;
     if (ponged.yields() && node.plan == null) {
@@ -199,7 +211,8 @@
               catalog,
               elected.records(),
               now,
-              node.storeLimits);
+              node.storeLimits,
+              predecessorLeasesEndMs(node, elected, now));
     } catch (RuntimeException e) {
       recordsUnreadable(node, "records can't be applied: " + describe(e), now);
       return;
@@ -226,6 +239,23 @@
     Delivery.sendWaiting(node, now);
   }
 
+  /**
+   * Returns the time at which the leases of earlier planners have expired, in milliseconds of the
+   * monotonic clock.
+   */
+  private static long predecessorLeasesEndMs(Node node, NodeEvent.Elected elected, Now now) {
+    boolean known = elected.predecessor() >= 0;
+    boolean noneProlonged =
+        known && node.predecessorContact.noneProlonged(elected.predecessor(), now);
+    node.logEvent(
+        "predecessor-leases",
+        "predecessor",
+        Long.toString(elected.predecessor()),
+        "prolonged",
+        noneProlonged ? "no" : "maybe");
+    return Plan.predecessorLeasesEndMs(known ? elected.fencedMs() : now.steadyMs(), noneProlonged);
+  }
+
   /**
    * Handles the store's answer to a query for the planner. An entry instance that finds a planner
    * with a later epoch follows it, and resigns if it is a planner itself.
@@ -236,6 +266,9 @@
     if (leader == null || (currentLeader != null && currentLeader.epoch() >= leader.epoch())) {
       return;
     }
+    if (currentLeader != null) {
+      node.predecessorContact.replaced(currentLeader.epoch(), now);
+    }
     node.leader = leader;
     node.leaderReachable = false;
     node.connectingToLeader = true;
--- a/core/src/main/java/dev/toucanstall/core/plan/LeaseRenewalRules.java
+++ b/core/src/main/java/dev/toucanstall/core/plan/LeaseRenewalRules.java
@@ -85,6 +85,7 @@
       server.capLeases(PlanReducer.LEASE_MS, now.steadyMs());
     }
     server.answered = true;
+    server.everAnswered = true;
     server.listRequestedMs = held.sentMs();
     server.unresponsiveSinceMs = 0;
     server.readClock(listed.serverClockMs(), now.steadyMs());
--- a/core/src/main/java/dev/toucanstall/core/plan/Plan.java
+++ b/core/src/main/java/dev/toucanstall/core/plan/Plan.java
@@ -37,6 +37,15 @@
 
   final StoreLimits storeLimits;
 
+  /**
+   * Time at which all leases of earlier planners have expired, in milliseconds of the monotonic
+   * clock.
+   */
+  final long predecessorLeasesEndMs;
+
+  /** Whether the store is away for each entry instance that this planner knows of. */
+  private boolean storeAwayForAll;
+
   /** Writer of the changes to the store. */
   final Ledger ledger;
 
@@ -77,6 +86,12 @@
   /** Whether the complete list of backend servers has been read. */
   boolean serverListComplete;
 
+  /**
+   * Time at which the newest list of backend servers was requested, in milliseconds of the
+   * monotonic clock.
+   */
+  long serverListRequestedMs = Long.MIN_VALUE / 2;
+
   /** Earliest time of the next sweep over all jobs, in milliseconds of the monotonic clock. */
   long nextSweepMs;
 
@@ -105,7 +120,14 @@
    * @param now start of the term
    */
   public Plan(long epoch, long firstSequence, Catalog catalog, List<JobRecord> records, Now now) {
-    this(epoch, firstSequence, catalog, records, now, StoreLimits.DEFAULT);
+    this(
+        epoch,
+        firstSequence,
+        catalog,
+        records,
+        now,
+        StoreLimits.DEFAULT,
+        predecessorLeasesEndMs(now.steadyMs(), false));
   }
 
   /**
@@ -117,6 +139,8 @@
    * @param records the newest record of each key, submissions before progress
    * @param now start of the term
    * @param storeLimits limits of the store
+   * @param predecessorLeasesEndMs time at which all leases of earlier planners have expired, in
+   *     milliseconds of the monotonic clock
    */
   public Plan(
       long epoch,
@@ -124,16 +148,50 @@
       Catalog catalog,
       List<JobRecord> records,
       Now now,
-      StoreLimits storeLimits) {
+      StoreLimits storeLimits,
+      long predecessorLeasesEndMs) {
     this.epoch = epoch;
     this.catalog = catalog;
     this.storeLimits = storeLimits;
+    this.predecessorLeasesEndMs = predecessorLeasesEndMs;
     this.ledger = new Ledger(epoch, firstSequence, now.steadyMs(), storeLimits.callBytes());
     this.termStartMs = now.steadyMs();
     Recovery.restore(this, records, now);
     JobRules.catalogChanged(this, catalog);
   }
 
+  /**
+   * Returns the time at which all leases of earlier planners have expired.
+   *
+   * @param fencedMs time at which the store had fenced the last planner, in milliseconds of the
+   *     monotonic clock
+   * @param noOutage whether no earlier planner can have prolonged its leases for an outage
+   * @return the time in milliseconds of the monotonic clock
+   */
+  public static long predecessorLeasesEndMs(long fencedMs, boolean noOutage) {
+    long horizonMs = noOutage ? PlanReducer.LEASE_HORIZON_MS : PlanReducer.OUTAGE_LEASE_HORIZON_MS;
+    return fencedMs + (long) (horizonMs / Server.MIN_CLOCK_RATE) + 1;
+  }
+
+  /**
+   * Sets whether the store is away for each entry instance that this planner knows of, so that it
+   * prolongs the leases for the outage.
+   *
+   * @param away whether none of them can be elected
+   */
+  public void setStoreAwayForAll(boolean away) {
+    storeAwayForAll = away;
+  }
+
+  /**
+   * Returns the time at which the leases that this planner may give end, in milliseconds of the
+   * monotonic clock.
+   */
+  long leaseEndMs() {
+    return ledger.confirmedMs()
+        + (storeAwayForAll ? PlanReducer.OUTAGE_LEASE_HORIZON_MS : PlanReducer.LEASE_HORIZON_MS);
+  }
+
   /**
    * Returns the epoch of the term, used as the fencing token.
    *
--- a/core/src/main/java/dev/toucanstall/core/plan/PlanEvent.java
+++ b/core/src/main/java/dev/toucanstall/core/plan/PlanEvent.java
@@ -39,13 +39,16 @@
   record Appended(long sequence, long sentMs, StoreResult result) implements PlanEvent {}
 
   /**
-   * Entries of the list of backend servers have changed.
+   * The list of backend servers was read, or the changes since the last read.
    *
+   * @param requestedMs time of the request, in milliseconds of the monotonic clock, if no later
+   *     change is left to be read; else far in the past
    * @param updated new or changed entries
    * @param removed ids whose entries were removed
    * @param complete whether {@code updated} names all entries, so that any other is removed
    */
-  record ServersRead(List<ServerEntry> updated, List<String> removed, boolean complete)
+  record ServersRead(
+      long requestedMs, List<ServerEntry> updated, List<String> removed, boolean complete)
       implements PlanEvent {
 
     /** Copies the lists. */
--- a/core/src/main/java/dev/toucanstall/core/plan/PlanReducer.java
+++ b/core/src/main/java/dev/toucanstall/core/plan/PlanReducer.java
@@ -9,8 +9,21 @@
  */
 public final class PlanReducer {
 
-  /** Length of a lease in milliseconds of the backend server's clock. */
-  static final long LEASE_MS = 6_000;
+  /** Longest lease, in milliseconds of the backend server's clock. */
+  static final long LEASE_MS = 5_500;
+
+  /**
+   * Longest time from the store's last confirmation of a planner's epoch to the end of a lease that
+   * the planner gives, in milliseconds. A successor waits for it before it starts the tasks of a
+   * backend server again that it can't reach.
+   */
+  static final long LEASE_HORIZON_MS = 6_300;
+
+  /**
+   * The same during an outage of the store for all entry instances that the planner knows of, in
+   * milliseconds. No successor can be elected then, and the runs should outlive the outage.
+   */
+  static final long OUTAGE_LEASE_HORIZON_MS = 10_000;
 
   /**
    * Time within which a start must be carried out, in milliseconds of the backend server's clock.
@@ -23,12 +36,6 @@
    */
   static final long START_PERMISSION_MS = 2_500;
 
-  /**
-   * Maximum time since the store last confirmed this planner's epoch, in milliseconds; an older
-   * confirmation does not permit lease renewals.
-   */
-  static final long RENEWAL_PERMISSION_MS = 4_000;
-
   private PlanReducer() {}
 
   /**
--- a/core/src/main/java/dev/toucanstall/core/plan/Recovery.java
+++ b/core/src/main/java/dev/toucanstall/core/plan/Recovery.java
@@ -14,13 +14,6 @@
 /** Builds a planner's state from the records of its predecessors. */
 final class Recovery {
 
-  /**
-   * Maximum time from the start of this term to the expiry of a lease that a predecessor gave, in
-   * milliseconds of a backend server's clock. A predecessor that is cut off from the store may
-   * renew leases for as long as its last confirmation permits, each for the length of a lease.
-   */
-  static final long PREDECESSOR_LEASE_MS = PlanReducer.RENEWAL_PERMISSION_MS + PlanReducer.LEASE_MS;
-
   /** Address of a backend server whose address was not recorded or is malformed. */
   private static final Address UNKNOWN_ADDRESS = new Address("0.0.0.0", 1);
 
@@ -161,7 +154,7 @@
     Server server = new Server(entry, now.steadyMs());
     server.unlisted = true;
     server.unresponsiveSinceMs = now.steadyMs();
-    server.leasesExpiredMs = now.steadyMs() + (long) (PREDECESSOR_LEASE_MS / Server.MIN_CLOCK_RATE);
+    server.leasesExpiredMs = task.job.plan.predecessorLeasesEndMs;
     return server;
   }
 }
--- a/core/src/main/java/dev/toucanstall/core/plan/Server.java
+++ b/core/src/main/java/dev/toucanstall/core/plan/Server.java
@@ -28,9 +28,18 @@
   /** Whether the backend server has answered a renewal with this planner's fencing token. */
   boolean answered;
 
+  /** Whether the backend server has ever answered a renewal of this planner. */
+  boolean everAnswered;
+
   /** Whether the backend server's entry was removed from the list. */
   boolean unlisted;
 
+  /**
+   * Time since which the list lacks the backend server's entry, in milliseconds of the monotonic
+   * clock, 0 if it does not or the list has not been read.
+   */
+  long unlistedSinceMs;
+
   /** Whether a lease renewal is under way. */
   boolean renewalPending;
 
@@ -250,16 +259,18 @@
 
   /**
    * Gives a lease: returns its expiry on the backend server's clock, and extends the time at which
-   * all leases have surely expired.
+   * all leases have surely expired. The expiry counts from the earliest time that the clock may
+   * show now, so that a slow clock lengthens the lease by no more than its rate, however long ago
+   * it was read.
    *
    * @param lengthMs length of the lease, in milliseconds
    * @param nowMs time of the event, in milliseconds of the monotonic clock
    * @return the expiry in milliseconds of the backend server's clock
    */
   long extendLease(long lengthMs, long nowMs) {
-    long ahead = nowMs - clockReadMs + lengthMs;
-    leasesExpiredMs = Math.max(leasesExpiredMs, clockReadMs + (long) (ahead / MIN_CLOCK_RATE) + 1);
-    return serverClockMs + ahead;
+    long slowestClockMs = serverClockMs + (long) ((nowMs - clockReadMs) * MIN_CLOCK_RATE);
+    leasesExpiredMs = Math.max(leasesExpiredMs, nowMs + (long) (lengthMs / MIN_CLOCK_RATE) + 1);
+    return slowestClockMs + lengthMs;
   }
 
   /**
--- a/core/src/main/java/dev/toucanstall/core/plan/ServerRules.java
+++ b/core/src/main/java/dev/toucanstall/core/plan/ServerRules.java
@@ -23,6 +23,13 @@
    */
   private static final long MAX_RENEWAL_INTERVAL_MS = 2_000;
 
+  /**
+   * Time for which the entry of a backend server must be missing until it counts as gone, in
+   * milliseconds. The platform names 2 s after the store's return; the rest lets the leases of a
+   * backend server expire that was cut off shortly before.
+   */
+  private static final long MISSING_ENTRY_MS = 4_000;
+
   /** Pause before the next renewal of a backend server that did not answer, in milliseconds. */
   private static final long UNRESPONSIVE_PAUSE_MS = 400;
 
@@ -31,16 +38,22 @@
   /** Applies changes of the list of backend servers. */
   static void serversRead(Plan plan, PlanEvent.ServersRead read, Now now) {
     read.updated().forEach(entry -> applyEntry(plan, entry, now));
-    read.removed().forEach(id -> unlist(plan, id));
+    read.removed().forEach(id -> unlist(plan, id, now));
     if (read.complete()) {
       Set<String> ids = read.updated().stream().map(ServerEntry::id).collect(Collectors.toSet());
       plan.servers.values().stream()
           .map(server -> server.entry.id())
           .filter(id -> !ids.contains(id))
           .toList()
-          .forEach(id -> unlist(plan, id));
-      plan.serverListComplete = true;
+          .forEach(id -> unlist(plan, id, now));
+      if (!plan.serverListComplete) {
+        plan.serverListComplete = true;
+        plan.servers.values().stream()
+            .filter(server -> server.unlisted)
+            .forEach(server -> server.unlistedSinceMs = now.steadyMs());
+      }
     }
+    plan.serverListRequestedMs = Math.max(plan.serverListRequestedMs, read.requestedMs());
   }
 
   /** Applies a new or changed entry. An entry of an earlier incarnation is ignored. */
@@ -71,15 +84,17 @@
     }
     existing.updateEntry(entry);
     existing.unlisted = false;
+    existing.unlistedSinceMs = 0;
   }
 
   /** Marks a backend server as removed from the list. Forgets it if it has no tasks. */
-  private static void unlist(Plan plan, String id) {
+  private static void unlist(Plan plan, String id, Now now) {
     Server server = plan.servers.get(id);
     if (server == null || server.unlisted) {
       return;
     }
     server.unlisted = true;
+    server.unlistedSinceMs = now.steadyMs();
     logServerEvent(plan, "server-unlisted", server, "tasks " + server.tasks.size());
     if (server.tasks.isEmpty()) {
       plan.servers.remove(id);
@@ -149,16 +164,16 @@
    * marks it or leaves it marked.
    */
   static void renewLeases(Plan plan, Now now) {
-    long sinceConfirmed = now.steadyMs() - plan.confirmedMs();
-    if (sinceConfirmed > PlanReducer.RENEWAL_PERMISSION_MS) {
+    long leaseMs = Math.min(PlanReducer.LEASE_MS, plan.leaseEndMs() - now.steadyMs());
+    if (leaseMs <= 0) {
       return;
     }
     for (Server server : plan.servers.takeDueForRenewal()) {
-      if (server.unresponsiveSinceMs > 0 && now.steadyMs() >= server.leasesExpiredMs) {
+      if (server.unresponsiveSinceMs > 0 && haveLeasesExpired(plan, server, now)) {
         leasesExpired(plan, server);
       }
       if (needsRenewal(server, now)) {
-        renewLease(plan, server, now);
+        renewLease(plan, server, leaseMs, now);
       }
       boolean paused = now.steadyMs() < server.nextRenewalMs || server.hasUnstoredCompletions();
       if (server.unresponsiveSinceMs > 0 || (!server.renewalPending && paused)) {
@@ -167,6 +182,22 @@
     }
   }
 
+  /**
+   * Returns whether all leases of a backend server have surely expired.
+   *
+   * <p>The bound for the leases of earlier planners allows for one that prolonged them while the
+   * store was away. A backend server that has not answered this planner, and that a list lacks
+   * which was requested long enough after its entry was missed, does not reach the store: it had
+   * left or was cut off before, and counts as gone.
+   */
+  private static boolean haveLeasesExpired(Plan plan, Server server, Now now) {
+    boolean missing =
+        server.unlisted
+            && server.unlistedSinceMs > 0
+            && plan.serverListRequestedMs - server.unlistedSinceMs >= MISSING_ENTRY_MS;
+    return now.steadyMs() >= server.leasesExpiredMs || (missing && !server.everAnswered);
+  }
+
   /** Releases the tasks of a backend server whose leases have all expired. */
   private static void leasesExpired(Plan plan, Server server) {
     if (!server.tasks.isEmpty()) {
@@ -207,11 +238,11 @@
    * Sends a renewal of a backend server's leases. Leases of an unresponsive backend server are not
    * renewed, but its lists are read.
    */
-  private static void renewLease(Plan plan, Server server, Now now) {
+  private static void renewLease(Plan plan, Server server, long leaseMs, Now now) {
     boolean hasRuns =
         server.tasks.stream().anyMatch(t -> t.phase != TaskPhase.ORDERED || t.startsSent > 0);
     boolean renews = !server.tasks.isEmpty() && server.unresponsiveSinceMs == 0;
-    long leaseExpiryMs = renews ? server.extendLease(PlanReducer.LEASE_MS, now.steadyMs()) : 0;
+    long leaseExpiryMs = renews ? server.extendLease(leaseMs, now.steadyMs()) : 0;
     long maxWaitMs =
         server.tasks.stream().anyMatch(ServerRules::isStartingUp)
             ? START_UP_WAIT_MS
--- a/core/src/test/java/dev/toucanstall/core/plan/NodeSimulation.java
+++ b/core/src/test/java/dev/toucanstall/core/plan/NodeSimulation.java
@@ -1,6 +1,5 @@
 package dev.toucanstall.core.plan;
 
-import dev.toucanstall.core.job.JobRecord;
 import dev.toucanstall.core.model.Address;
 import dev.toucanstall.core.node.Leader;
 import dev.toucanstall.core.node.NodeEffect;
@@ -62,6 +61,9 @@
   /** Planner that the store names, null if there was none. */
   @Nullable Leader leader;
 
+  /** Epoch of the last planner, 0 if there was none. */
+  private long claimedEpoch;
+
   /** Processor capacity of the planner that the store names, in cores. */
   double leaderCores;
 
@@ -232,6 +234,7 @@
   }
 
   private void claimEpoch(SimulatedInstance candidate, long epoch) {
+    long fencedMs = nowMs();
     after(
         2 * storeLatencyMs(),
         () -> {
@@ -239,8 +242,10 @@
             candidate.post(new NodeEvent.NotElected("another instance takes the epoch", null));
             return;
           }
-          List<JobRecord> records = platform.records();
-          after(storeLatencyMs(), () -> candidate.post(new NodeEvent.Elected(epoch, 1, records)));
+          NodeEvent elected =
+              new NodeEvent.Elected(epoch, 1, platform.records(), claimedEpoch, fencedMs);
+          claimedEpoch = epoch;
+          after(storeLatencyMs(), () -> candidate.post(elected));
         });
   }
 
--- a/core/src/test/java/dev/toucanstall/core/plan/PlanSimulation.java
+++ b/core/src/test/java/dev/toucanstall/core/plan/PlanSimulation.java
@@ -298,7 +298,16 @@
    */
   Planner electPlanner() {
     fence(lowestEpoch + 1);
-    Planner next = new Planner(new Plan(lowestEpoch, 1, catalog(), records(), now(), storeLimits));
+    Planner next =
+        new Planner(
+            new Plan(
+                lowestEpoch,
+                1,
+                catalog(),
+                records(),
+                now(),
+                storeLimits,
+                Plan.predecessorLeasesEndMs(nowMs, false)));
     planner = next;
     next.handle(serversRead(true));
     return next;
@@ -335,7 +344,7 @@
             .toList();
     List<String> ended =
         servers.values().stream().filter(s -> !s.up && s.reachable).map(s -> s.id).toList();
-    return new PlanEvent.ServersRead(listed, complete ? List.of() : ended, complete);
+    return new PlanEvent.ServersRead(nowMs, listed, complete ? List.of() : ended, complete);
   }
 
   /** Sends a call to the newest planner; returns the id of the call. */
@@ -618,10 +627,6 @@
     return StoreResult.DONE;
   }
 
-  private boolean isTooLarge(JobRecord record) {
-    return RecordSize.maxBytes(record) > storeLimits.recordBytes() || refusesRecord.test(record);
-  }
-
   /** Stores a record under its key, and removes the records that it replaces. */
   private void store(JobRecord record) {
     switch (record) {
@@ -645,6 +650,10 @@
     }
   }
 
+  private boolean isTooLarge(JobRecord record) {
+    return RecordSize.maxBytes(record) > storeLimits.recordBytes() || refusesRecord.test(record);
+  }
+
   /**
    * Sends an order to a backend server. A late one arrives after the planner has given up the call.
    */
--- a/core/src/test/java/dev/toucanstall/core/plan/PlanTest.java
+++ b/core/src/test/java/dev/toucanstall/core/plan/PlanTest.java
@@ -234,6 +234,103 @@
     assertThat(sim.violations).isEmpty();
   }
 
+  /**
+   * Guards against lasting tasks that stay without a run for a bound which allows for leases that
+   * an earlier planner prolonged: the planner was lost before an outage of the store, and a backend
+   * server left before the next planner read the list.
+   */
+  @Test
+  void tasksOfServerThatLeftBeforeNextPlannerReadTheListAreStartedSoon() {
+    PlanSimulation sim = new PlanSimulation(1);
+    final SimulatedServer left = sim.addServer("w1", 10_000);
+    final PlanSimulation.Planner firstPlanner = sim.electPlanner();
+    sim.run(200);
+    sim.submit("j", PlanSimulation.lastingStep(3, 1_000, 0));
+    sim.run(1_000);
+    firstPlanner.active = false;
+    sim.run(6_000);
+    left.crash();
+    left.reachable = false;
+    sim.addServer("w2", 10_000);
+    sim.electPlanner();
+    sim.run(5_500);
+    assertThat(sim.requireServer("w2").running).hasSize(3);
+    assertThat(sim.violations).isEmpty();
+  }
+
+  /**
+   * Guards against the same rule where it proves nothing: a backend server whose entry is listed,
+   * or that a list lacks for a short time only, is cut off and runs on.
+   */
+  @Test
+  void tasksOfListedServerAwaitTheLeasesOfEarlierPlanners() {
+    PlanSimulation sim = new PlanSimulation(1);
+    final SimulatedServer cutOff = sim.addServer("w1", 10_000);
+    sim.electPlanner();
+    sim.run(200);
+    sim.submit("j", PlanSimulation.lastingStep(3, 1_000, 0));
+    sim.run(1_000);
+    cutOff.refusesConnections = true;
+    sim.addServer("w2", 10_000);
+    sim.electPlanner();
+    sim.run(8_000);
+    assertThat(sim.requireServer("w2").running).isEmpty();
+    sim.run(3_000);
+    assertThat(sim.requireServer("w2").running).hasSize(3);
+    assertThat(sim.violations).isEmpty();
+  }
+
+  /** Guards against a lease that outlasts the time for which a successor waits. */
+  @Test
+  void leaseEndsWithinTheHorizonOfThePlannersLastConfirmation() {
+    PlanSimulation sim = simulationWithPlanner("w1");
+    final SimulatedServer server = sim.requireServer("w1");
+    sim.submit("j", PlanSimulation.lastingStep(3, 1_000, 0));
+    sim.run(1_000);
+    final long lostMs = sim.now().steadyMs();
+    sim.storeAvailable = false;
+    sim.run(PlanReducer.LEASE_HORIZON_MS - 1_000);
+    assertThat(server.running).hasSize(3);
+    sim.run(2_000);
+    assertThat(server.running).isEmpty();
+    assertThat(server.leaseExpiryMs).isAtMost(lostMs + PlanReducer.LEASE_HORIZON_MS);
+  }
+
+  /**
+   * Guards against starts that come too late for a backend server whose clock has not been read for
+   * minutes: their deadlines allow for a slow clock.
+   */
+  @Test
+  void serverThatWasIdleForMinutesIsUsedAtOnce() {
+    PlanSimulation sim = simulationWithPlanner("w1");
+    sim.run(400_000);
+    sim.submit("j", PlanSimulation.step(3, 1_000));
+    sim.run(1_000);
+    assertThat(queryJob(sim, "j")).isEqualTo(new JobAnswer.Shown(JobPhase.COMPLETED));
+    assertThat(sim.violations).isEmpty();
+  }
+
+  /**
+   * Guards against work that an outage of the store ends though no other planner can be elected.
+   */
+  @Test
+  void leasesAreProlongedWhileTheStoreIsAwayForAll() {
+    PlanSimulation sim = simulationWithPlanner("w1");
+    final SimulatedServer server = sim.requireServer("w1");
+    sim.submit("j", PlanSimulation.lastingStep(3, 1_000, 0));
+    sim.run(1_000);
+    final long lostMs = sim.now().steadyMs();
+    sim.storeAvailable = false;
+    Objects.requireNonNull(sim.planner).plan.setStoreAwayForAll(true);
+    sim.run(9_000);
+    assertThat(server.running).hasSize(3);
+    assertThat(server.leaseExpiryMs).isAtMost(lostMs + PlanReducer.OUTAGE_LEASE_HORIZON_MS);
+    sim.storeAvailable = true;
+    sim.run(2_000);
+    assertThat(server.running).hasSize(3);
+    assertThat(sim.violations).isEmpty();
+  }
+
   /**
    * Guards against lasting tasks that wait for a lease which the predecessor can no longer renew,
    * because the backend server has seen a higher fencing token.
@@ -276,14 +373,14 @@
     while (sim.now().steadyMs() < server.leasesExpiredMs - 20) {
       sim.run(10);
     }
-    sim.answerLossRate = 1;
+    sim.storeDelayMs = 2_000;
     final Job job = Objects.requireNonNull(plan.jobs.get("j"));
     while (job.tasks().noneMatch(t -> t.run == 2)) {
       sim.run(1);
     }
     unresponsive.reachable = true;
-    sim.run(500);
-    sim.answerLossRate = 0;
+    sim.run(1_500);
+    sim.storeDelayMs = 0;
     sim.run(4_000);
     assertThat(queryJob(sim, "j")).isEqualTo(new JobAnswer.Shown(JobPhase.COMPLETED));
     assertThat(sim.effects.stream().filter(e -> e instanceof PlanEffect.Start).count())
--- a/core/src/test/java/dev/toucanstall/core/plan/PlannerFailoverTest.java
+++ b/core/src/test/java/dev/toucanstall/core/plan/PlannerFailoverTest.java
@@ -3,6 +3,7 @@
 import static com.google.common.truth.Truth.assertWithMessage;
 
 import dev.toucanstall.core.job.JobSpec;
+import dev.toucanstall.core.job.TaskKey;
 import java.util.List;
 import java.util.Objects;
 import java.util.function.ObjLongConsumer;
@@ -111,6 +112,39 @@
         });
   }
 
+  /**
+   * Guards against lasting tasks that stay without a run for longer than a lease and an election: a
+   * backend server is cut off as the planner is lost, and its entry stays listed.
+   */
+  @Test
+  void tasksOfServerLostWithThePlannerAreStartedWithinNineSeconds() {
+    forEachSeed(
+        (sim, seed) -> {
+          String job = "ffffffffffffffff";
+          JobSpec spec = new JobSpec("", List.of(PlanSimulation.lastingStep(4, 2_000, 1)), 1, 0, 0);
+          sim.clients.submit(instances(sim, SMALL_CORES).getFirst(), "q", job, spec);
+          sim.run(16_000);
+          SimulatedServer lost =
+              sim.platform.servers.values().stream()
+                  .filter(s -> s.running.keySet().stream().anyMatch(t -> t.job().equals(job)))
+                  .findFirst()
+                  .orElseThrow();
+          final TaskKey task =
+              lost.running.keySet().stream()
+                  .filter(t -> t.job().equals(job))
+                  .findFirst()
+                  .orElseThrow();
+          planner(sim, seed).terminate();
+          sim.run(100);
+          lost.refusesConnections = true;
+          long lostMs = sim.nowMs();
+          sim.run(9_000);
+          assertWithMessage("start of the lost task, seed %s", seed)
+              .that(sim.platform.lastStartMs.getOrDefault(task, 0L))
+              .isGreaterThan(lostMs);
+        });
+  }
+
   /** Guards against a fleet of small instances that waits for ever for a large one. */
   @Test
   void smallInstanceTakesOverOnceAllLargeOnesAreLost() {
--- a/core/src/test/java/dev/toucanstall/core/plan/ServersTest.java
+++ b/core/src/test/java/dev/toucanstall/core/plan/ServersTest.java
@@ -74,7 +74,7 @@
     SimulatedServer restarted = sim.addServer(crashed.id, 10_000);
     sim.post(
         new PlanEvent.ServersRead(
-            List.of(restarted.entry(sim.now().steadyMs())), List.of(), false));
+            0, List.of(restarted.entry(sim.now().steadyMs())), List.of(), false));
     sim.run(60);
     Server server = Objects.requireNonNull(plan(sim).servers.get(crashed.id));
     assertThat(server.entry.startTimeMs()).isEqualTo(restarted.startTimeMs);
--- a/entry/src/main/java/dev/toucanstall/entry/node/NodeEffectRunner.java
+++ b/entry/src/main/java/dev/toucanstall/entry/node/NodeEffectRunner.java
@@ -161,7 +161,12 @@
       events.accept(
           switch (jobLog.elect(ownLeaderRecord(lastEpoch))) {
             case JobLog.ElectionResult.Won won ->
-                new NodeEvent.Elected(won.epoch(), won.nextSequence(), won.records());
+                new NodeEvent.Elected(
+                    won.epoch(),
+                    won.nextSequence(),
+                    won.records(),
+                    won.predecessor(),
+                    won.fencedMs());
             case JobLog.ElectionResult.Unreadable unreadable ->
                 new NodeEvent.RecordsUnreadable(unreadable.reason());
             case JobLog.ElectionResult.Lost lost ->
--- a/entry/src/main/java/dev/toucanstall/entry/node/NodeProcess.java
+++ b/entry/src/main/java/dev/toucanstall/entry/node/NodeProcess.java
@@ -105,7 +105,7 @@
             jobHandler,
             plannerServer,
             plannerLink,
-            new JobLog(store),
+            new JobLog(store, clock::steadyMs),
             new OrderClient(orderHttpClient),
             new MachineClient(storeHttpClient, settings.machinesAddress(), settings.instanceName()),
             waveStatusWriter,
@@ -283,10 +283,11 @@
             SERVERS_LONG_POLL_MS,
             SERVERS_POLL_PAUSE_MS,
             clock::steadyMs,
-            (requestedMs, snapshot, records) -> readServers(epoch, snapshot, records));
+            (requestedMs, snapshot, records) -> readServers(epoch, requestedMs, snapshot, records));
   }
 
-  private void readServers(long epoch, boolean snapshot, List<TopicWatcher.KeyedRecord> records) {
+  private void readServers(
+      long epoch, long requestedMs, boolean snapshot, List<TopicWatcher.KeyedRecord> records) {
     List<ServerEntry> updated = new ArrayList<>();
     List<String> removed = new ArrayList<>();
     for (TopicWatcher.KeyedRecord record : records) {
@@ -308,9 +309,9 @@
                 .info(LOG);
       }
     }
-    if (snapshot || !records.isEmpty()) {
-      post(new NodeEvent.ForPlan(epoch, new PlanEvent.ServersRead(updated, removed, snapshot)));
-    }
+    post(
+        new NodeEvent.ForPlan(
+            epoch, new PlanEvent.ServersRead(requestedMs, updated, removed, snapshot)));
   }
 
   @Override
--- a/testbed/src/main/java/dev/toucanstall/testbed/bench/PlannerFleet.java
+++ b/testbed/src/main/java/dev/toucanstall/testbed/bench/PlannerFleet.java
@@ -81,7 +81,7 @@
   /** Lists all backend servers to the planner, now and periodically. */
   void listServers(boolean complete) {
     List<ServerEntry> entries = servers.values().stream().map(s -> s.entry(clock.nowMs())).toList();
-    planner.accept(new PlanEvent.ServersRead(entries, List.of(), complete));
+    planner.accept(new PlanEvent.ServersRead(0, entries, List.of(), complete));
     clock.schedule(LIST_INTERVAL_MS, () -> listServers(false));
   }
 
@@ -205,6 +205,6 @@
             .filter(s -> s.machine.equals(move.machine()))
             .map(s -> s.entry(clock.nowMs()))
             .toList();
-    planner.accept(new PlanEvent.ServersRead(entries, List.of(), false));
+    planner.accept(new PlanEvent.ServersRead(0, entries, List.of(), false));
   }
 }
