Count a start that another server has answered as not started

What callers would see: a task that never runs, if its start was meant for an earlier incarnation of a worker and another worker answers at that address after the later incarnation is known.

Cause: the change for refused connections ignored that answer altogether, so the start stayed pending. Found on reading that change; startThatAnotherServerAnsweredDoesNotStayPending fails without the fix.

Run: PlanTest, PlanRandomTest, NodeRandomTest, LastingTaskRandomTest, green.

--- a/core/src/main/java/dev/toucanstall/core/plan/OrderRules.java
+++ b/core/src/main/java/dev/toucanstall/core/plan/OrderRules.java
@@ -131,8 +131,10 @@
         task.ifPresent(t -> startConfirmed(t, now));
       }
       case OrderResult.Rejected rejected -> startRejected(plan, server, task, rejected, now);
-      case OrderResult.OtherLife otherLife ->
-          otherIncarnationAnswers(plan, server, sameIncarnation);
+      case OrderResult.OtherLife otherLife -> {
+        task.ifPresent(t -> notStarted(plan, t));
+        otherIncarnationAnswers(plan, server, sameIncarnation);
+      }
       case OrderResult.ConnectionRefused refused -> {
         task.ifPresent(t -> notStarted(plan, t));
         if (sameIncarnation) {
@@ -250,8 +252,10 @@
           plan.emit(new PlanEffect.Resign("a backend server has seen a higher fencing token"));
       case OrderResult.Rejected rejected ->
           task.ifPresent(t -> t.absenceConclusiveAfterMs = now.steadyMs());
-      case OrderResult.OtherLife otherLife ->
-          otherIncarnationAnswers(plan, server, sameIncarnation);
+      case OrderResult.OtherLife otherLife -> {
+        task.ifPresent(t -> t.stopUndelivered = true);
+        otherIncarnationAnswers(plan, server, sameIncarnation);
+      }
       case OrderResult.ConnectionRefused refused -> {
         task.ifPresent(t -> t.stopUndelivered = true);
         if (sameIncarnation) {
--- a/core/src/test/java/dev/toucanstall/core/plan/PlanTest.java
+++ b/core/src/test/java/dev/toucanstall/core/plan/PlanTest.java
@@ -198,6 +198,37 @@
     assertThat(sim.requireServer("w1").running).hasSize(3);
   }
 
+  /**
+   * Guards against a task that waits for ever for a start which did not reach its backend server:
+   * it was meant for an earlier incarnation, and another backend server has answered at its
+   * address.
+   */
+  @Test
+  void startThatAnotherServerAnsweredDoesNotStayPending() {
+    PlanSimulation sim = simulationWithPlanner("w1");
+    final SimulatedServer former = sim.requireServer("w1");
+    former.reachable = false;
+    sim.submit("j", PlanSimulation.step(1, 1_000));
+    while (sim.effects.stream().noneMatch(e -> e instanceof PlanEffect.Start)) {
+      sim.run(1);
+    }
+    sim.addServer("w1", 10_000);
+    sim.post(sim.serversRead(false));
+    Task task =
+        Objects.requireNonNull(Objects.requireNonNull(sim.planner).plan.jobs.get("j"))
+            .tasks()
+            .findFirst()
+            .orElseThrow();
+    assertThat(task.startsSent).isEqualTo(1);
+    sim.post(
+        new PlanEvent.Started(
+            "w1", former.startTimeMs, task.key, task.run, new OrderResult.OtherLife()));
+    assertThat(task.startsSent).isEqualTo(0);
+    sim.run(2_000);
+    assertThat(queryJob(sim, "j")).isEqualTo(new JobAnswer.Shown(JobPhase.COMPLETED));
+    assertThat(sim.violations).isEmpty();
+  }
+
   /** Guards against stops that are repeated without a pause while connections are refused. */
   @Test
   void stopIsNotRepeatedWhileConnectionsAreRefused() {
