Log on what evidence a run's task is released

Cause: a task that is released left a line only if a list lacked its run, so the hypotheses of the incident (a refused connection, a missing entry, an earlier incarnation's order) looked alike. Change: run-released names task, run, backend server, incarnation, evidence, its age, the planner's epoch and the time since its election. Ends as done still write nothing. Decisions are unchanged.

--- a/core/src/main/java/dev/toucanstall/core/plan/LeaseRenewalRules.java
+++ b/core/src/main/java/dev/toucanstall/core/plan/LeaseRenewalRules.java
@@ -52,14 +52,19 @@
           ServerRules.restarted(
               plan, server, server.entry.withIncarnation(listed.serverStartTimeMs()), now);
       case LeaseRenewalResult.Listed listed -> applyLists(plan, server, held, listed, now);
-      case LeaseRenewalResult.Failed failed -> renewalFailed(plan, server, failed.outcome(), now);
+      case LeaseRenewalResult.Failed failed -> renewalFailed(plan, server, held, failed, now);
     }
   }
 
-  private static void renewalFailed(Plan plan, Server server, OrderResult outcome, Now now) {
-    switch (outcome) {
+  private static void renewalFailed(
+      Plan plan, Server server, PlanEvent.Held held, LeaseRenewalResult.Failed failed, Now now) {
+    switch (failed.outcome()) {
       case OrderResult.OtherLife otherLife ->
-          ServerRules.incarnationEnded(plan, server, "another incarnation answers");
+          ServerRules.incarnationEnded(
+              plan,
+              server,
+              new RunEvidence(RunEvidence.Kind.OTHER_SERVER_ANSWERS, held.sentMs()),
+              now);
       case OrderResult.ConnectionRefused refused ->
           ServerRules.markUnresponsive(plan, server, "lease renewal: connection refused", now);
       case OrderResult.Rejected rejected when rejected.reason() == OrderResult.Reason.FENCED ->
@@ -96,7 +101,7 @@
       listedTasks.add(finished.task());
       if (finished.number() > server.appliedCompletion) {
         server.appliedCompletion = finished.number();
-        applyFinishedRun(plan, server, finished, now);
+        applyFinishedRun(plan, server, finished, held.sentMs(), now);
       }
     }
     for (ActiveRun active : listed.running()) {
@@ -105,7 +110,7 @@
     }
     sendDueStops(plan, server);
     if (listed.finished().size() < TRUNCATION_LENGTH) {
-      releaseAbsent(plan, server, listedTasks, held.sentMs());
+      releaseAbsent(plan, server, listedTasks, held.sentMs(), now);
     }
     acknowledgeOnceStored(plan, server);
   }
@@ -163,7 +168,7 @@
    * so such a task is not released.
    */
   private static void releaseAbsent(
-      Plan plan, Server server, Set<TaskKey> listedTasks, long sentMs) {
+      Plan plan, Server server, Set<TaskKey> listedTasks, long sentMs, Now now) {
     List<Task> absent =
         server.tasks.stream()
             .filter(t -> !listedTasks.contains(t.key))
@@ -171,13 +176,14 @@
             .toList();
     for (Task task : absent) {
       plan.logEvent("run-absent", "server", server.entry.id(), "task", task.key.toString());
-      plan.release(task);
+      plan.releaseEnded(task, new RunEvidence(RunEvidence.Kind.ABSENT_FROM_LIST, sentMs), now);
       JobRules.closeIfEnded(plan, task.job);
     }
   }
 
   /** Applies a finished run. */
-  private static void applyFinishedRun(Plan plan, Server server, FinishedRun finished, Now now) {
+  private static void applyFinishedRun(
+      Plan plan, Server server, FinishedRun finished, long sentMs, Now now) {
     Optional<Task> found = find(plan, finished.task());
     if (found.isEmpty()) {
       return;
@@ -206,8 +212,8 @@
         plan.markForPlacement(server);
         markDone(plan, task, now);
       }
-      case FAILED -> runFailed(plan, server, task, now);
-      default -> plan.release(task);
+      case FAILED -> runFailed(plan, server, task, sentMs, now);
+      default -> plan.releaseEnded(task, endListed(sentMs), now);
     }
     JobRules.closeIfEnded(plan, task.job);
   }
@@ -252,11 +258,11 @@
    * Handles a failed run: releases the task, and fails its job if the task is not lasting and has
    * failed too often.
    */
-  private static void runFailed(Plan plan, Server server, Task task, Now now) {
+  private static void runFailed(Plan plan, Server server, Task task, long sentMs, Now now) {
     task.failures++;
     task.avoidedServers.add(server.entry.id());
     countFailure(plan, server, now);
-    plan.release(task);
+    plan.releaseEnded(task, endListed(sentMs), now);
     Queue queue = plan.queue(task.job);
     int maxFailures = queue == null ? DEFAULT_MAX_FAILURES : queue.maxFailures();
     boolean failsJob = !task.step.lasting() && task.failures >= maxFailures;
@@ -273,6 +279,10 @@
     }
   }
 
+  private static RunEvidence endListed(long sentMs) {
+    return new RunEvidence(RunEvidence.Kind.END_LISTED, sentMs);
+  }
+
   /** Counts a failed run of a backend server and suspends it after several in a row. */
   private static void countFailure(Plan plan, Server server, Now now) {
     server.consecutiveFailures++;
--- a/core/src/main/java/dev/toucanstall/core/plan/Maintenance.java
+++ b/core/src/main/java/dev/toucanstall/core/plan/Maintenance.java
@@ -98,7 +98,7 @@
         event.result().name());
     switch (event.result()) {
       case BEGUN -> {
-        endServer(plan, wave, machine);
+        endServer(plan, wave, machine, now);
         wave.ordered.remove(machine);
         wave.downSinceMs.put(machine, now.steadyMs());
         Set<String> begun = plan.machines.maintenanceBegun(event.wave());
@@ -116,11 +116,12 @@
   }
 
   /** Ends the backend server of a machine, because maintenance ends all processes on it. */
-  private static void endServer(Plan plan, Wave wave, String machine) {
+  private static void endServer(Plan plan, Wave wave, String machine, Now now) {
     String id = wave.emptying.remove(machine);
     Server server = id == null ? null : plan.servers.get(id);
     if (server != null) {
-      ServerRules.incarnationEnded(plan, server, "maintenance of its machine has begun");
+      ServerRules.incarnationEnded(
+          plan, server, new RunEvidence(RunEvidence.Kind.MACHINE_MAINTAINED, now.steadyMs()), now);
     }
   }
 
--- a/core/src/main/java/dev/toucanstall/core/plan/OrderRules.java
+++ b/core/src/main/java/dev/toucanstall/core/plan/OrderRules.java
@@ -132,11 +132,11 @@
       }
       case OrderResult.Rejected rejected -> startRejected(plan, server, task, rejected, now);
       case OrderResult.OtherLife otherLife -> {
-        task.ifPresent(t -> notStarted(plan, t));
-        otherIncarnationAnswers(plan, server, sameIncarnation);
+        task.ifPresent(t -> notStarted(plan, t, now));
+        otherIncarnationAnswers(plan, server, sameIncarnation, now);
       }
       case OrderResult.ConnectionRefused refused -> {
-        task.ifPresent(t -> notStarted(plan, t));
+        task.ifPresent(t -> notStarted(plan, t, now));
         if (sameIncarnation) {
           ServerRules.markUnresponsive(plan, server, "start: connection refused", now);
         }
@@ -150,9 +150,14 @@
    * that the incarnation has ended for which the order was meant, and says nothing of a later one
    * under the same id.
    */
-  private static void otherIncarnationAnswers(Plan plan, Server server, boolean sameIncarnation) {
+  private static void otherIncarnationAnswers(
+      Plan plan, Server server, boolean sameIncarnation, Now now) {
     if (sameIncarnation) {
-      ServerRules.incarnationEnded(plan, server, "another incarnation answers");
+      ServerRules.incarnationEnded(
+          plan,
+          server,
+          new RunEvidence(RunEvidence.Kind.OTHER_SERVER_ANSWERS, now.steadyMs()),
+          now);
     }
   }
 
@@ -186,21 +191,21 @@
       case UNHEALTHY -> server.suspendedUntilMs = now.steadyMs() + UNHEALTHY_PAUSE_MS;
       default -> {}
     }
-    task.ifPresent(t -> notStarted(plan, t));
+    task.ifPresent(t -> notStarted(plan, t, now));
   }
 
   /**
    * Handles a start that had no effect. An earlier send of the same start that was not answered may
    * still take effect, so the run is stopped then.
    */
-  private static void notStarted(Plan plan, Task task) {
+  private static void notStarted(Plan plan, Task task, Now now) {
     if (task.phase != TaskPhase.ORDERED) {
       return;
     }
     if (task.startUnanswered) {
       stopOnceStored(plan, task);
     } else {
-      plan.release(task);
+      plan.releaseEnded(task, new RunEvidence(RunEvidence.Kind.NOT_STARTED, task.orderedMs), now);
     }
   }
 
@@ -254,7 +259,7 @@
           task.ifPresent(t -> t.absenceConclusiveAfterMs = now.steadyMs());
       case OrderResult.OtherLife otherLife -> {
         task.ifPresent(t -> t.stopUndelivered = true);
-        otherIncarnationAnswers(plan, server, sameIncarnation);
+        otherIncarnationAnswers(plan, server, sameIncarnation, now);
       }
       case OrderResult.ConnectionRefused refused -> {
         task.ifPresent(t -> t.stopUndelivered = true);
--- a/core/src/main/java/dev/toucanstall/core/plan/Plan.java
+++ b/core/src/main/java/dev/toucanstall/core/plan/Plan.java
@@ -387,7 +387,34 @@
   }
 
   /**
-   * Unbinds a task whose run is over. The task waits for its next run, or is dropped if its job has
+   * Releases a task whose run has ended or was never started, and logs on what evidence, so that
+   * each of two runs of a task names the reason for which the other was started.
+   */
+  void releaseEnded(Task task, RunEvidence evidence, Now now) {
+    Server from = task.server;
+    logEvent(
+        "run-released",
+        "task",
+        task.key.toString(),
+        "run",
+        Long.toString(task.run),
+        "server",
+        from == null ? "" : from.entry.id(),
+        "born",
+        from == null ? "" : Long.toString(from.entry.startTimeMs()),
+        "evidence",
+        evidence.kind().name(),
+        "evidence-age-ms",
+        Long.toString(now.steadyMs() - evidence.atMs()),
+        "epoch",
+        Long.toString(epoch),
+        "term-ms",
+        Long.toString(now.steadyMs() - termStartMs));
+    release(task);
+  }
+
+  /**
+   * Unbinds a task that has no run. The task waits for its next run, or is dropped if its job has
    * ended.
    */
   void release(Task task) {
--- a/core/src/main/java/dev/toucanstall/core/plan/PoolRebalancing.java
+++ b/core/src/main/java/dev/toucanstall/core/plan/PoolRebalancing.java
@@ -276,7 +276,8 @@
     close(plan, move, now);
     Server server = plan.servers.get(move.server);
     if (server != null) {
-      ServerRules.incarnationEnded(plan, server, "its machine is being moved to another pool");
+      ServerRules.incarnationEnded(
+          plan, server, new RunEvidence(RunEvidence.Kind.MACHINE_MOVED, now.steadyMs()), now);
     }
     plan.moves.recordMove(move.machine, now.steadyMs());
     plan.machines.byName.put(move.machine, new MachineEntry(move.machine, move.service, false, ""));
--- a/core/src/main/java/dev/toucanstall/core/plan/ServerRules.java
+++ b/core/src/main/java/dev/toucanstall/core/plan/ServerRules.java
@@ -2,7 +2,8 @@
 
 import dev.toucanstall.core.job.ServerEntry;
 import dev.toucanstall.core.job.TaskPhase;
-import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
 import java.util.Set;
 import java.util.stream.Collectors;
 
@@ -104,10 +105,14 @@
   /**
    * Ends a backend server and releases its tasks, because all runs of its incarnation have ended.
    */
-  static void incarnationEnded(Plan plan, Server server, String reason) {
-    logServerEvent(plan, "server-ended", server, reason);
+  static void incarnationEnded(Plan plan, Server server, RunEvidence evidence, Now now) {
+    logServerEvent(plan, "server-ended", server, evidence.kind().name());
     plan.servers.remove(server.entry.id());
-    new ArrayList<>(server.tasks).forEach(plan::release);
+    releaseAll(plan, server, evidence, now);
+  }
+
+  private static void releaseAll(Plan plan, Server server, RunEvidence evidence, Now now) {
+    List.copyOf(server.tasks).forEach(task -> plan.releaseEnded(task, evidence, now));
   }
 
   /**
@@ -169,8 +174,9 @@
       return;
     }
     for (Server server : plan.servers.takeDueForRenewal()) {
-      if (server.unresponsiveSinceMs > 0 && haveLeasesExpired(plan, server, now)) {
-        leasesExpired(plan, server);
+      if (server.unresponsiveSinceMs > 0) {
+        evidenceOfExpiry(plan, server, now)
+            .ifPresent(evidence -> leasesExpired(plan, server, evidence, now));
       }
       if (needsRenewal(server, now)) {
         renewLease(plan, server, leaseMs, now);
@@ -183,26 +189,31 @@
   }
 
   /**
-   * Returns whether all leases of a backend server have surely expired.
+   * Returns the evidence that all leases of a backend server have expired, empty if there is none.
    *
    * <p>The bound for the leases of earlier planners allows for one that prolonged them while the
    * store was away. A backend server that has not answered this planner, and that a list lacks
    * which was requested long enough after its entry was missed, does not reach the store: it had
    * left or was cut off before, and counts as gone.
    */
-  private static boolean haveLeasesExpired(Plan plan, Server server, Now now) {
+  private static Optional<RunEvidence> evidenceOfExpiry(Plan plan, Server server, Now now) {
+    if (now.steadyMs() >= server.leasesExpiredMs) {
+      return Optional.of(new RunEvidence(RunEvidence.Kind.LEASES_EXPIRED, server.leasesExpiredMs));
+    }
     boolean missing =
         server.unlisted
             && server.unlistedSinceMs > 0
             && plan.serverListRequestedMs - server.unlistedSinceMs >= MISSING_ENTRY_MS;
-    return now.steadyMs() >= server.leasesExpiredMs || (missing && !server.everAnswered);
+    return missing && !server.everAnswered
+        ? Optional.of(new RunEvidence(RunEvidence.Kind.ENTRY_MISSING, server.unlistedSinceMs))
+        : Optional.empty();
   }
 
   /** Releases the tasks of a backend server whose leases have all expired. */
-  private static void leasesExpired(Plan plan, Server server) {
+  private static void leasesExpired(Plan plan, Server server, RunEvidence evidence, Now now) {
     if (!server.tasks.isEmpty()) {
       logServerEvent(plan, "leases-out", server, "tasks " + server.tasks.size());
-      new ArrayList<>(server.tasks).forEach(plan::release);
+      releaseAll(plan, server, evidence, now);
     }
     server.answered = false;
     if (server.unlisted) {
