Tests: entries of backend servers that are cut off expire while their leases last

The model listed each backend server that the planner reached. Now an entry lasts three report intervals after the last report that reached the store, also that of a crashed one, the list isn't read while the store is away, and the network can divide: a planner reaches the backend servers on its side.

--- a/core/src/test/java/dev/toucanstall/core/plan/NodeSimulation.java
+++ b/core/src/test/java/dev/toucanstall/core/plan/NodeSimulation.java
@@ -140,7 +140,7 @@
   }
 
   boolean areConnected(SimulatedInstance first, SimulatedInstance second) {
-    return !first.partitioned && !second.partitioned;
+    return !first.partitioned && !second.partitioned && first.side == second.side;
   }
 
   Stream<SimulatedInstance> runningInstances() {
@@ -170,7 +170,7 @@
    */
   SimulatedInstance anyReady(@Nullable SimulatedInstance excluded) {
     List<SimulatedInstance> ready =
-        runningInstances().filter(i -> i.ready && !i.partitioned && i != excluded).toList();
+        runningInstances().filter(i -> i.ready && !i.isCutOff() && i != excluded).toList();
     List<SimulatedInstance> choices = ready.isEmpty() ? instances : ready;
     return choices.get(random.nextInt(choices.size()));
   }
@@ -251,7 +251,7 @@
 
   /** Stores the name of a planner; tries again while the planner is cut off. */
   void announce(SimulatedInstance planner, long epoch) {
-    if (planner.partitioned || planner.storeRefused) {
+    if (planner.isCutOff() || planner.storeRefused) {
       after(1_000, () -> announce(planner, epoch));
       return;
     }
--- a/core/src/test/java/dev/toucanstall/core/plan/PlanSimulation.java
+++ b/core/src/test/java/dev/toucanstall/core/plan/PlanSimulation.java
@@ -209,6 +209,10 @@
   long moveDurationMs = 1_500;
 
   boolean storeAvailable = true;
+
+  /** Time between two reports of a backend server to the store, in milliseconds. */
+  long reportIntervalMs = 500;
+
   StoreLimits storeLimits = StoreLimits.DEFAULT;
 
   /** Records that the store refuses as too large whatever their size. */
@@ -273,12 +277,20 @@
 
   private void tick() {
     servers.values().stream().filter(s -> s.up).forEach(s -> s.advance(nowMs));
+    if (storeAvailable) {
+      servers.values().stream()
+          .filter(s -> s.up && s.reachesStore && s.side == 0)
+          .filter(s -> nowMs - s.lastReportMs >= reportIntervalMs)
+          .forEach(s -> s.lastReportMs = nowMs);
+    }
     post(new PlanEvent.Tick());
     after(TICK_MS, this::tick);
   }
 
   private void listServers() {
-    post(serversRead(false));
+    if (storeAvailable) {
+      post(serversRead(false));
+    }
     after(SERVER_LIST_INTERVAL_MS, this::listServers);
   }
 
@@ -353,15 +365,17 @@
   /** Returns the entries of backend servers, the whole list or its changes. */
   PlanEvent serversRead(boolean complete) {
     List<ServerEntry> listed =
-        servers.values().stream()
-            .filter(s -> s.up && s.reachable)
-            .map(s -> s.entry(nowMs))
-            .toList();
+        servers.values().stream().filter(this::isListed).map(s -> s.entry(nowMs)).toList();
     List<String> ended =
-        servers.values().stream().filter(s -> !s.up && s.reachable).map(s -> s.id).toList();
+        servers.values().stream().filter(s -> !isListed(s)).map(s -> s.id).toList();
     return new PlanEvent.ServersRead(nowMs, listed, complete ? List.of() : ended, complete);
   }
 
+  /** Returns whether a backend server has an entry: it has reported within three intervals. */
+  private boolean isListed(SimulatedServer server) {
+    return nowMs - server.lastReportMs <= 3 * reportIntervalMs;
+  }
+
   /** Sends a call to the newest planner; returns the id of the call. */
   long call(JobCall call) {
     long callId = ++lastCallId;
@@ -825,7 +839,7 @@
         : resultEvent(effect, new OrderResult.Unanswered(), sentMs);
   }
 
-  private static String serverIdOf(PlanEffect effect) {
+  static String serverIdOf(PlanEffect effect) {
     return switch (effect) {
       case PlanEffect.Start start -> start.server().id();
       case PlanEffect.Stop stop -> stop.server().id();
--- a/core/src/test/java/dev/toucanstall/core/plan/PlanTest.java
+++ b/core/src/test/java/dev/toucanstall/core/plan/PlanTest.java
@@ -280,7 +280,7 @@
     sim.run(1_000);
     firstPlanner.active = false;
     sim.run(6_000);
-    left.crash();
+    left.leave();
     left.reachable = false;
     sim.addServer("w2", 10_000);
     sim.electPlanner();
--- a/core/src/test/java/dev/toucanstall/core/plan/SimulatedInstance.java
+++ b/core/src/test/java/dev/toucanstall/core/plan/SimulatedInstance.java
@@ -66,6 +66,12 @@
    */
   boolean partitioned;
 
+  /**
+   * Side of a divided network that the process is on; it reaches only the entry instances and
+   * backend servers there. Store and group are on side 0.
+   */
+  int side;
+
   /** Whether the store refuses the calls of this process, though it serves others. */
   boolean storeRefused;
 
@@ -314,15 +320,32 @@
       PlanEvent refusal =
           new PlanEvent.Appended(append.sequence(), sim.nowMs(), StoreResult.NOT_DONE);
       sim.after(sim.storeLatencyMs(), () -> post(new NodeEvent.ForPlan(epoch, refusal)));
-    } else if (partitioned) {
-      long timeoutMs = effect instanceof PlanEffect.Append ? STORE_TIMEOUT_MS : CALL_TIMEOUT_MS;
-      sim.after(
-          timeoutMs, () -> post(new NodeEvent.ForPlan(epoch, timeoutEvent(effect, timeoutMs))));
+    } else if (!reaches(effect)) {
+      timeOut(epoch, effect);
     } else {
-      sim.platform.carryOut(event -> post(new NodeEvent.ForPlan(epoch, event)), effect);
+      sim.platform.carryOut(
+          event -> {
+            if (reaches(effect)) {
+              post(new NodeEvent.ForPlan(epoch, event));
+            } else {
+              timeOut(epoch, effect);
+            }
+          },
+          effect);
     }
   }
 
+  /** Returns whether the network connects the process to the receiver of an effect. */
+  private boolean reaches(PlanEffect effect) {
+    SimulatedServer server = sim.platform.servers.get(PlanSimulation.serverIdOf(effect));
+    return server == null ? !isCutOff() : !partitioned && server.side == side;
+  }
+
+  private void timeOut(long epoch, PlanEffect effect) {
+    long timeoutMs = effect instanceof PlanEffect.Append ? STORE_TIMEOUT_MS : CALL_TIMEOUT_MS;
+    sim.after(timeoutMs, () -> post(new NodeEvent.ForPlan(epoch, timeoutEvent(effect, timeoutMs))));
+  }
+
   private PlanEvent timeoutEvent(PlanEffect effect, long timeoutMs) {
     long sentMs = sim.nowMs() - timeoutMs;
     return switch (effect) {
@@ -339,8 +362,13 @@
 
   // Reads from the store and the group.
 
+  /** Returns whether the network separates the process from store and group. */
+  boolean isCutOff() {
+    return partitioned || side != 0;
+  }
+
   boolean reachesStore() {
-    return !partitioned && !storeRefused && sim.platform.storeAvailable;
+    return !isCutOff() && !storeRefused && sim.platform.storeAvailable;
   }
 
   private void readCatalog() {
@@ -398,11 +426,12 @@
     if (terminated || planningEpoch != epoch) {
       return;
     }
-    if (!partitioned && !storeRefused) {
+    boolean served = reachesStore();
+    if (served) {
       PlanEvent event = sim.platform.serversRead(complete);
       sim.after(sim.storeLatencyMs(), () -> post(new NodeEvent.ForPlan(epoch, event)));
     }
-    boolean stillComplete = complete && (partitioned || storeRefused);
+    boolean stillComplete = complete && !served;
     sim.after(STORE_READ_INTERVAL_MS, () -> readServers(epoch, stillComplete));
   }
 
--- a/core/src/test/java/dev/toucanstall/core/plan/SimulatedServer.java
+++ b/core/src/test/java/dev/toucanstall/core/plan/SimulatedServer.java
@@ -64,6 +64,21 @@
   /** Whether starts are carried out but not answered. */
   boolean dropsStartAnswers;
 
+  /** Whether the backend server's reports reach the store; without them its entry expires. */
+  boolean reachesStore = true;
+
+  /**
+   * Side of a divided network that the backend server is on: its entry instances and it reach each
+   * other. The store is on side 0.
+   */
+  int side;
+
+  /**
+   * Time of the last report that reached the store, in milliseconds of the simulated time; far in
+   * the past once the backend server has left.
+   */
+  long lastReportMs;
+
   /** Whether a renewal that was meant for this incarnation has been answered. */
   boolean answeredOwnRenewal;
 
@@ -114,6 +129,7 @@
     this.service = service;
     this.capacity = capacity;
     this.startTimeMs = startTimeMs;
+    this.lastReportMs = startTimeMs;
     this.observer = observer;
   }
 
@@ -163,6 +179,13 @@
     observer.runFinished(this, task, run.number(), outcome);
   }
 
+  /** Ends in an orderly way: says that it leaves, so that its entry is removed. */
+  void leave() {
+    crash();
+    lastReportMs = Long.MIN_VALUE / 2;
+  }
+
+  /** Ends without a word; its entry expires. */
   void crash() {
     up = false;
     running.forEach(
