--- a/core/src/test/java/dev/toucanstall/core/plan/PlanSimulation.java
+++ b/core/src/test/java/dev/toucanstall/core/plan/PlanSimulation.java
@@ -697,15 +697,15 @@
    * Their answers are lost.
    */
   void deliverHeldBack() {
-    deliverHeldBack(true);
+    releaseHeldBack(true);
   }
 
   /** Delivers the orders that the network has held back as ones that were on their way. */
   void deliverOnItsWay() {
-    deliverHeldBack(false);
+    releaseHeldBack(false);
   }
 
-  private void deliverHeldBack(boolean late) {
+  private void releaseHeldBack(boolean late) {
     List<PlanEffect> orders = List.copyOf(heldBack);
     heldBack.clear();
     orders.forEach(order -> deliverOrder(event -> {}, order, late, true, nowMs));
