Await the leases of a worker whose entry is missing

Since a backend server counted as gone once its entry was missing for 4 s and it had never answered the planner.

Cause: a worker that is cut off shows the same picture, and its leases may last longer. A new planner that no follower had pinged yet took the store for away for all and prolonged its leases to 10 s. Cut off together with some workers right after its election, it kept their runs; its successor found their entries missing and started the tasks elsewhere. Pings that were held up on their way also spoke of a past outage.

Change: only the end of all leases counts, and its bound is tighter instead. It counts from the last confirmation of the earlier planner, not from its fencing: planners report the end of the job log after their last confirmed append with each answer to a ping, and each confirmation now appends a mark, so a log that still ends there has had no later one. A planner prolongs its leases only once each follower has had time to ping, and not on pings after a pause of their link. Leases that were prolonged while an instance offered no capacity end 9.6 s after that, not at an election plus 10.2 s.

tasksOfServerThatLeftBeforeNextPlannerReadTheListAreStartedSoon asked for the fault: its successor knew nothing of the last confirmation and released tasks before 10.2 s were over.

--- a/core/src/main/java/dev/toucanstall/core/node/Followers.java
+++ b/core/src/main/java/dev/toucanstall/core/node/Followers.java
@@ -39,18 +39,34 @@
    *
    * @param cores processor capacity that it offered, 0 if its sender is not fit to plan
    * @param atMs time of the ping, in milliseconds of the monotonic clock
+   * @param lateUntilMs time until which pings over the link may have been held up on their way, in
+   *     milliseconds of the monotonic clock
    */
-  private record LastPing(double cores, long atMs) {}
+  private record LastPing(double cores, long atMs, long lateUntilMs) {
+
+    /** Returns whether the sender is surely unfit to plan now. */
+    private boolean showsUnfit(long nowMs) {
+      return cores <= 0 && nowMs - atMs <= PING_TIMEOUT_MS && nowMs >= lateUntilMs;
+    }
+  }
 
   private final Map<Long, Follower> byLink = new HashMap<>();
 
   /** Last pings by link, also of followers that are not fit to plan or don't ping any more. */
   private final Map<Long, LastPing> lastPings = new HashMap<>();
 
-  /** Removes all followers, at the beginning of a term. */
-  void clear() {
+  /** Start of the term, in milliseconds of the monotonic clock. */
+  private long clearedMs;
+
+  /**
+   * Removes all followers, at the beginning of a term.
+   *
+   * @param nowMs current time, in milliseconds of the monotonic clock
+   */
+  void clear(long nowMs) {
     byLink.clear();
     lastPings.clear();
+    clearedMs = nowMs;
   }
 
   /**
@@ -61,7 +77,7 @@
    * @param nowMs current time, in milliseconds of the monotonic clock
    */
   void recordPing(long link, double cores, long nowMs) {
-    lastPings.put(link, new LastPing(cores, nowMs));
+    lastPings.merge(link, new LastPing(cores, nowMs, 0), Followers::pingAfter);
     byLink.values().removeIf(f -> nowMs - f.lastPingMs > PING_TIMEOUT_MS);
     if (cores <= 0) {
       byLink.remove(link);
@@ -73,17 +89,30 @@
     byLink.put(link, new Follower(cores, stableSinceMs, nowMs));
   }
 
+  /**
+   * Returns a ping as it counts after the one before it over the same link. Pings after a pause may
+   * have been sent during it, and tell the past.
+   */
+  private static LastPing pingAfter(LastPing previous, LastPing next) {
+    boolean paused = next.atMs - previous.atMs > PING_TIMEOUT_MS;
+    long lateUntilMs =
+        paused ? next.atMs + PredecessorContact.MAX_PING_DELAY_MS : previous.lateUntilMs;
+    return new LastPing(next.cores, next.atMs, lateUntilMs);
+  }
+
   /**
    * Returns whether each follower says that it is not fit to plan, as it does while it can't reach
-   * the store. One that was lost lately says nothing, and may be elected.
+   * the store. One that was lost lately, or has not pinged in this term yet, says nothing, and may
+   * be elected.
    *
    * @param nowMs current time, in milliseconds of the monotonic clock
    * @return true if no follower that has pinged within {@link #RETENTION_MS} can be elected
    */
   boolean noneFit(long nowMs) {
     lastPings.values().removeIf(ping -> nowMs - ping.atMs > RETENTION_MS);
-    return lastPings.values().stream()
-        .allMatch(ping -> ping.cores <= 0 && nowMs - ping.atMs <= PING_TIMEOUT_MS);
+    boolean allHadTimeToPing = nowMs - clearedMs > RETENTION_MS;
+    return (allHadTimeToPing || !lastPings.isEmpty())
+        && lastPings.values().stream().allMatch(ping -> ping.showsUnfit(nowMs));
   }
 
   /**
--- a/core/src/main/java/dev/toucanstall/core/node/NodeEffect.java
+++ b/core/src/main/java/dev/toucanstall/core/node/NodeEffect.java
@@ -58,8 +58,11 @@
    * @param plans whether this instance is the planner and the store has confirmed its epoch
    *     recently
    * @param yields whether the other instance should become the planner instead
+   * @param logEnd end of the job log after this planner's last confirmed append, -1 if unknown
+   * @param confirmedAgeMs time since that append was sent, in milliseconds
    */
-  record AnswerPing(long link, boolean plans, boolean yields) implements NodeEffect {}
+  record AnswerPing(long link, boolean plans, boolean yields, long logEnd, long confirmedAgeMs)
+      implements NodeEffect {}
 
   /**
    * Declines a call that another entry instance forwarded, as this one is not the planner.
--- a/core/src/main/java/dev/toucanstall/core/node/NodeEvent.java
+++ b/core/src/main/java/dev/toucanstall/core/node/NodeEvent.java
@@ -50,8 +50,18 @@
    * @param plans whether that instance is the planner and the store has confirmed its epoch
    *     recently
    * @param yields whether this instance should become the planner instead
+   * @param logEnd end of the job log after that planner's last confirmed append; not positive if
+   *     unknown
+   * @param confirmedAgeMs time since that append was sent, in milliseconds
    */
-  record PeerPonged(Address from, boolean plans, boolean yields) implements NodeEvent {}
+  record PeerPonged(Address from, boolean plans, boolean yields, long logEnd, long confirmedAgeMs)
+      implements NodeEvent {
+
+    /** Creates an event that does not tell the end of the job log. */
+    public PeerPonged(Address from, boolean plans, boolean yields) {
+      this(from, plans, yields, -1, 0);
+    }
+  }
 
   /**
    * A remote planner has answered a call.
@@ -146,14 +156,20 @@
    * @param predecessor epoch of the last planner, 0 if there was none, -1 if unknown
    * @param fencedMs time at which the store had fenced the last planner, in milliseconds of the
    *     monotonic clock
+   * @param logEnd end of the job log when the last planner was fenced, -1 if unknown
    */
   record Elected(
-      long epoch, long firstSequence, List<JobRecord> records, long predecessor, long fencedMs)
+      long epoch,
+      long firstSequence,
+      List<JobRecord> records,
+      long predecessor,
+      long fencedMs,
+      long logEnd)
       implements NodeEvent {
 
     /** Creates an event that tells nothing of the last planner. */
     public Elected(long epoch, long firstSequence, List<JobRecord> records) {
-      this(epoch, firstSequence, records, -1, 0);
+      this(epoch, firstSequence, records, -1, 0, -1);
     }
 
     /** Copies the list of records. */
--- a/core/src/main/java/dev/toucanstall/core/node/NodeMessage.java
+++ b/core/src/main/java/dev/toucanstall/core/node/NodeMessage.java
@@ -51,6 +51,10 @@
    *
    * @param plans whether the sender is the planner and the store has confirmed its epoch recently
    * @param yields whether the receiver should become the planner instead
+   * @param logEnd end of the job log after the planner's last confirmed append, -1 if unknown; an
+   *     earlier version sends none, which is read as 0
+   * @param confirmedAgeMs time since that append was sent, in milliseconds
    */
-  record Pong(boolean plans, boolean yields) implements NodeMessage {}
+  record Pong(boolean plans, boolean yields, long logEnd, long confirmedAgeMs)
+      implements NodeMessage {}
 }
--- a/core/src/main/java/dev/toucanstall/core/node/PredecessorContact.java
+++ b/core/src/main/java/dev/toucanstall/core/node/PredecessorContact.java
@@ -1,6 +1,8 @@
 package dev.toucanstall.core.node;
 
 import dev.toucanstall.core.plan.Now;
+import dev.toucanstall.core.plan.PlanReducer;
+import java.util.OptionalLong;
 
 /**
  * What this entry instance knows of the leases that earlier planners have given. Owned by the
@@ -9,6 +11,10 @@
  * <p>A planner prolongs its leases for an outage of the store only while each of its followers
  * offers no processor capacity. So an instance that has followed the planner, and has offered
  * capacity all the time, knows that the leases were not prolonged.
+ *
+ * <p>Planners report the store's last confirmation of their epoch with each answer. No lease ends
+ * later than a fixed time after the planner's last confirmation, so an instance that knows it need
+ * not count from the later moment at which it has fenced that planner.
  */
 final class PredecessorContact {
 
@@ -19,10 +25,10 @@
   static final long VALIDITY_MS = 10_000;
 
   /**
-   * Time after which the leases that a planner may have prolonged have expired, in milliseconds:
-   * longer than the longest lease with the delay of a ping.
+   * Longest time for which a ping may be held up on its way without a pause that its receiver
+   * notices, in milliseconds.
    */
-  private static final long DOUBT_MS = 14_000;
+  static final long MAX_PING_DELAY_MS = 4_000;
 
   /** Epoch of the planner that has counted this instance, 0 if there is none. */
   private long countedBy;
@@ -31,14 +37,39 @@
   private long countedMs;
 
   /**
-   * Time at which a planner may last have prolonged its leases as far as this instance knows, in
-   * milliseconds of the monotonic clock; never until the first update.
+   * Time at which prolonged leases have expired that planners gave before they counted this
+   * instance, in milliseconds of the monotonic clock.
+   */
+  private long uncountedLeasesEndMs = Long.MIN_VALUE;
+
+  /**
+   * Time at which prolonged leases have expired that planners gave as this instance offered no
+   * capacity, in milliseconds of the monotonic clock; never until the first update.
    */
-  private long doubtMs = Long.MAX_VALUE;
+  private long countedLeasesEndMs = Long.MAX_VALUE;
+
+  /** Epoch of the planner that has last reported its confirmation, 0 if none has. */
+  private long reportedBy;
+
+  /** End of the job log after the last append that the planner reported as confirmed. */
+  private long reportedLogEnd;
+
+  /** Time at which that append was sent or later, in milliseconds of the monotonic clock. */
+  private long reportedMs;
 
   /** Records that this instance offers no capacity, so that the planner may prolong its leases. */
   void offersNothing(Now now) {
-    doubtMs = now.steadyMs();
+    if (countedLeasesEndMs == Long.MAX_VALUE) {
+      uncounted(now);
+    }
+    countedLeasesEndMs =
+        now.steadyMs() + MAX_PING_DELAY_MS + PlanReducer.longestDurationMs(PlanReducer.LEASE_MS);
+  }
+
+  /** Records that planners which did not count this instance may have been active until now. */
+  private void uncounted(Now now) {
+    uncountedLeasesEndMs =
+        now.steadyMs() + PlanReducer.longestDurationMs(PlanReducer.OUTAGE_LEASE_HORIZON_MS);
   }
 
   /** Records an answer of the planner to a ping. */
@@ -47,10 +78,28 @@
     countedMs = now.steadyMs();
   }
 
+  /**
+   * Records what a planner reports of its last confirmation by the store.
+   *
+   * @param logEnd end of the job log after the confirmed append; not positive if unknown
+   * @param confirmedMs time at which that append was sent or later, in milliseconds of the
+   *     monotonic clock
+   * @param epoch epoch of the planner
+   */
+  void confirmationReported(long logEnd, long confirmedMs, long epoch) {
+    if (logEnd <= 0) {
+      return;
+    }
+    boolean known = reportedBy == epoch && reportedLogEnd == logEnd;
+    reportedMs = known ? Math.min(reportedMs, confirmedMs) : confirmedMs;
+    reportedBy = epoch;
+    reportedLogEnd = logEnd;
+  }
+
   /** Records that a planner was replaced. One that did not count this instance is in doubt. */
   void replaced(long formerEpoch, Now now) {
     if (!isCountedBy(formerEpoch, now)) {
-      doubtMs = now.steadyMs();
+      uncounted(now);
     }
   }
 
@@ -59,12 +108,30 @@
   }
 
   /**
-   * Returns whether no earlier planner can have prolonged leases that may still last.
+   * Returns the time after which the store has not confirmed the last planner: each confirmation
+   * makes the job log longer, so there was none after the one at whose end the log still is.
+   *
+   * @param lastEpoch epoch of the last planner
+   * @param logEnd end of the job log when that planner was fenced
+   * @return the time in milliseconds of the monotonic clock, empty if unknown
+   */
+  OptionalLong lastConfirmedMs(long lastEpoch, long logEnd) {
+    return reportedBy == lastEpoch && lastEpoch > 0 && reportedLogEnd == logEnd
+        ? OptionalLong.of(reportedMs)
+        : OptionalLong.empty();
+  }
+
+  /**
+   * Returns the time at which leases that earlier planners have prolonged for an outage of the
+   * store have expired.
    *
    * @param lastEpoch epoch of the last planner
    * @param now current time
+   * @return the time in milliseconds of the monotonic clock, {@link Long#MAX_VALUE} if unknown
    */
-  boolean noneProlonged(long lastEpoch, Now now) {
-    return isCountedBy(lastEpoch, now) && now.steadyMs() - doubtMs > DOUBT_MS;
+  long prolongedLeasesEndMs(long lastEpoch, Now now) {
+    return isCountedBy(lastEpoch, now)
+        ? Math.max(countedLeasesEndMs, uncountedLeasesEndMs)
+        : Long.MAX_VALUE;
   }
 }
--- a/core/src/main/java/dev/toucanstall/core/node/Terms.java
+++ b/core/src/main/java/dev/toucanstall/core/node/Terms.java
@@ -84,7 +84,13 @@
               : node.followers.findSuccessor(node.size, now.steadyMs());
       yields = successor.filter(link -> link == pinged.link()).isPresent();
     }
-    node.emit(new NodeEffect.AnswerPing(pinged.link(), reportsPlanning(node, now), yields));
+    node.emit(
+        new NodeEffect.AnswerPing(
+            pinged.link(),
+            reportsPlanning(node, now),
+            yields,
+            plan == null ? -1 : plan.confirmedLogEnd(),
+            plan == null ? 0 : now.steadyMs() - plan.confirmedMs()));
   }
 
   /** Tells the planner of this instance whether any of its followers may be elected. */
@@ -105,6 +111,8 @@
       return;
     }
     node.leaderReportsPlanning = ponged.plans();
+    node.predecessorContact.confirmationReported(
+        ponged.logEnd(), now.steadyMs() - ponged.confirmedAgeMs(), leader.epoch());
     if (ponged.plans()) {
       node.predecessorContact.counted(leader.epoch(), now);
     }
@@ -217,7 +225,7 @@
       recordsUnreadable(node, "records can't be applied: " + describe(e), now);
       return;
     }
-    node.followers.clear();
+    node.followers.clear(now.steadyMs());
     node.plan = plan;
     node.logEvent(
         "planner-elected",
@@ -244,16 +252,24 @@
    * monotonic clock.
    */
   private static long predecessorLeasesEndMs(Node node, NodeEvent.Elected elected, Now now) {
+    PredecessorContact contact = node.predecessorContact;
     boolean known = elected.predecessor() >= 0;
-    boolean noneProlonged =
-        known && node.predecessorContact.noneProlonged(elected.predecessor(), now);
+    long fencedMs = known ? elected.fencedMs() : now.steadyMs();
+    long confirmedMs =
+        contact.lastConfirmedMs(elected.predecessor(), elected.logEnd()).orElse(fencedMs);
+    long endMs =
+        Plan.predecessorLeasesEndMs(
+            Math.min(confirmedMs, fencedMs),
+            contact.prolongedLeasesEndMs(elected.predecessor(), now));
     node.logEvent(
         "predecessor-leases",
         "predecessor",
         Long.toString(elected.predecessor()),
-        "prolonged",
-        noneProlonged ? "no" : "maybe");
-    return Plan.predecessorLeasesEndMs(known ? elected.fencedMs() : now.steadyMs(), noneProlonged);
+        "confirmed-ago-ms",
+        Long.toString(now.steadyMs() - Math.min(confirmedMs, fencedMs)),
+        "end-in-ms",
+        Long.toString(endMs - now.steadyMs()));
+    return endMs;
   }
 
   /**
@@ -266,9 +282,7 @@
     if (leader == null || (currentLeader != null && currentLeader.epoch() >= leader.epoch())) {
       return;
     }
-    if (currentLeader != null) {
-      node.predecessorContact.replaced(currentLeader.epoch(), now);
-    }
+    node.predecessorContact.replaced(currentLeader == null ? -1 : currentLeader.epoch(), now);
     node.leader = leader;
     node.leaderReachable = false;
     node.connectingToLeader = true;
--- a/core/src/main/java/dev/toucanstall/core/plan/LeaseRenewalRules.java
+++ b/core/src/main/java/dev/toucanstall/core/plan/LeaseRenewalRules.java
@@ -91,7 +91,6 @@
       server.capLeases(now.steadyMs());
     }
     server.answered = true;
-    server.everAnswered = true;
     server.listRequestedMs = held.sentMs();
     server.unresponsiveSinceMs = 0;
     server.readClock(listed.serverClockMs(), now.steadyMs());
--- a/core/src/main/java/dev/toucanstall/core/plan/Ledger.java
+++ b/core/src/main/java/dev/toucanstall/core/plan/Ledger.java
@@ -58,7 +58,8 @@
    * Append that has not succeeded yet.
    *
    * @param sequence number of the append
-   * @param records records to store, empty if only the fencing token is confirmed
+   * @param records records to store, empty if only the fencing token is confirmed; the log grows by
+   *     a mark then
    * @param actions actions to run once the records are stored
    * @param firstSentMs time at which the append was first sent, in milliseconds of the monotonic
    *     clock
@@ -110,6 +111,9 @@
    */
   private long confirmedMs;
 
+  /** End of the log after the last append that succeeded, -1 if unknown. */
+  private long confirmedLogEnd = -1;
+
   /**
    * Creates a writer without changes.
    *
@@ -168,11 +172,17 @@
     return confirmedMs;
   }
 
+  /** Returns the end of the log after the last append that succeeded, -1 if unknown. */
+  long confirmedLogEnd() {
+    return confirmedLogEnd;
+  }
+
   /**
    * Discards the confirmation of the fencing token, so that the store is asked for another at once.
    */
   void requireReconfirmation() {
     confirmedMs = Long.MIN_VALUE / 2;
+    confirmedLogEnd = -1;
     lastSentMs = Long.MIN_VALUE / 2;
   }
 
@@ -200,6 +210,7 @@
       case DONE -> {
         pending = null;
         confirmedMs = Math.max(confirmedMs, event.sentMs());
+        confirmedLogEnd = Math.max(confirmedLogEnd, event.logEnd());
         current.actions.forEach(action -> action.run(now, out));
       }
       case FENCED -> out.accept(new PlanEffect.Resign("the store refused the fencing token"));
@@ -221,7 +232,7 @@
     if (records.size() <= 1) {
       unstorable.addAll(records);
       pending = null;
-      nextSequence = records.isEmpty() ? nextSequence : current.sequence;
+      nextSequence = current.sequence;
       return;
     }
     int half = records.size() / 2;
@@ -257,7 +268,7 @@
       actions = new ArrayList<>();
       dueActions.forEach(action -> action.run(now, out));
       if (now.steadyMs() - lastSentMs >= CONFIRM_INTERVAL_MS) {
-        send(new PendingAppend(nextSequence, List.of(), List.of(), now.steadyMs()), now, out);
+        send(new PendingAppend(nextSequence++, List.of(), List.of(), now.steadyMs()), now, out);
       }
       return;
     }
--- a/core/src/main/java/dev/toucanstall/core/plan/Plan.java
+++ b/core/src/main/java/dev/toucanstall/core/plan/Plan.java
@@ -86,12 +86,6 @@
   /** Whether the complete list of backend servers has been read. */
   boolean serverListComplete;
 
-  /**
-   * Time at which the newest list of backend servers was requested, in milliseconds of the
-   * monotonic clock.
-   */
-  long serverListRequestedMs = Long.MIN_VALUE / 2;
-
   /** Earliest time of the next sweep over all jobs, in milliseconds of the monotonic clock. */
   long nextSweepMs;
 
@@ -127,7 +121,7 @@
         records,
         now,
         StoreLimits.DEFAULT,
-        predecessorLeasesEndMs(now.steadyMs(), false));
+        predecessorLeasesEndMs(now.steadyMs(), Long.MAX_VALUE));
   }
 
   /**
@@ -163,14 +157,18 @@
   /**
    * Returns the time at which all leases of earlier planners have expired.
    *
-   * @param fencedMs time at which the store had fenced the last planner, in milliseconds of the
-   *     monotonic clock
-   * @param noOutage whether no earlier planner can have prolonged its leases for an outage
+   * @param confirmedMs time after which the store has not confirmed the last planner, at the latest
+   *     that at which the store had fenced it, in milliseconds of the monotonic clock
+   * @param prolongedLeasesEndMs time at which leases that an earlier planner has prolonged for an
+   *     outage of the store have expired, in milliseconds of the monotonic clock; {@link
+   *     Long#MAX_VALUE} if unknown
    * @return the time in milliseconds of the monotonic clock
    */
-  public static long predecessorLeasesEndMs(long fencedMs, boolean noOutage) {
-    long horizonMs = noOutage ? PlanReducer.LEASE_HORIZON_MS : PlanReducer.OUTAGE_LEASE_HORIZON_MS;
-    return fencedMs + (long) (horizonMs / Server.MIN_CLOCK_RATE) + 1;
+  public static long predecessorLeasesEndMs(long confirmedMs, long prolongedLeasesEndMs) {
+    long usualEndMs = confirmedMs + PlanReducer.longestDurationMs(PlanReducer.LEASE_HORIZON_MS);
+    long latestEndMs =
+        confirmedMs + PlanReducer.longestDurationMs(PlanReducer.OUTAGE_LEASE_HORIZON_MS);
+    return Math.min(latestEndMs, Math.max(usualEndMs, prolongedLeasesEndMs));
   }
 
   /**
@@ -201,6 +199,15 @@
     return epoch;
   }
 
+  /**
+   * Returns the end of the job log after the last append that the store has confirmed.
+   *
+   * @return offset after the last record, -1 if it or the time of the confirmation is unknown
+   */
+  public long confirmedLogEnd() {
+    return ledger.confirmedMs() >= termStartMs ? ledger.confirmedLogEnd() : -1;
+  }
+
   /**
    * Returns the time at which the store last confirmed the fencing token.
    *
--- a/core/src/main/java/dev/toucanstall/core/plan/PlanEvent.java
+++ b/core/src/main/java/dev/toucanstall/core/plan/PlanEvent.java
@@ -35,8 +35,16 @@
    * @param sequence number of the append
    * @param sentMs time at which the append was sent, in milliseconds of the monotonic clock
    * @param result result of the append
+   * @param logEnd end of the job log after the append, -1 if unknown
    */
-  record Appended(long sequence, long sentMs, StoreResult result) implements PlanEvent {}
+  record Appended(long sequence, long sentMs, StoreResult result, long logEnd)
+      implements PlanEvent {
+
+    /** Creates an event that does not tell the end of the job log. */
+    public Appended(long sequence, long sentMs, StoreResult result) {
+      this(sequence, sentMs, result, -1);
+    }
+  }
 
   /**
    * The list of backend servers was read, or the changes since the last read.
--- a/core/src/main/java/dev/toucanstall/core/plan/PlanReducer.java
+++ b/core/src/main/java/dev/toucanstall/core/plan/PlanReducer.java
@@ -10,7 +10,7 @@
 public final class PlanReducer {
 
   /** Longest lease that a planner gives, in milliseconds of the backend server's clock. */
-  static final long LEASE_MS = 5_500;
+  public static final long LEASE_MS = 5_500;
 
   /**
    * Longest lease that a backend server grants, in milliseconds of its clock. It shortens a longer
@@ -23,13 +23,13 @@
    * the planner gives, in milliseconds. A successor waits for it before it starts the tasks of a
    * backend server again that it can't reach.
    */
-  static final long LEASE_HORIZON_MS = 6_300;
+  public static final long LEASE_HORIZON_MS = 6_300;
 
   /**
    * The same during an outage of the store for all entry instances that the planner knows of, in
    * milliseconds. No successor can be elected then, and the runs should outlive the outage.
    */
-  static final long OUTAGE_LEASE_HORIZON_MS = MAX_LEASE_MS;
+  public static final long OUTAGE_LEASE_HORIZON_MS = MAX_LEASE_MS;
 
   /**
    * Time within which a start must be carried out, in milliseconds of the backend server's clock.
@@ -44,6 +44,16 @@
 
   private PlanReducer() {}
 
+  /**
+   * Returns the longest time that a backend server's clock, which may be slow, takes for a length.
+   *
+   * @param lengthMs length in milliseconds of the backend server's clock
+   * @return the time in milliseconds of the planner's monotonic clock
+   */
+  public static long longestDurationMs(long lengthMs) {
+    return (long) (lengthMs / Server.MIN_CLOCK_RATE) + 1;
+  }
+
   /**
    * Decides on an event.
    *
--- a/core/src/main/java/dev/toucanstall/core/plan/RunEvidence.java
+++ b/core/src/main/java/dev/toucanstall/core/plan/RunEvidence.java
@@ -17,8 +17,6 @@
     ABSENT_FROM_LIST,
     /** All leases that any planner has given to the backend server have expired. */
     LEASES_EXPIRED,
-    /** The entry of a backend server that has never answered this planner stays missing. */
-    ENTRY_MISSING,
     /** Another backend server answers at the address. */
     OTHER_SERVER_ANSWERS,
     /** The platform has begun to move the machine to another pool. */
--- a/core/src/main/java/dev/toucanstall/core/plan/Server.java
+++ b/core/src/main/java/dev/toucanstall/core/plan/Server.java
@@ -34,18 +34,9 @@
   /** Whether the backend server has answered a renewal with this planner's fencing token. */
   boolean answered;
 
-  /** Whether the backend server has ever answered a renewal of this planner. */
-  boolean everAnswered;
-
   /** Whether the backend server's entry was removed from the list. */
   boolean unlisted;
 
-  /**
-   * Time since which the list lacks the backend server's entry, in milliseconds of the monotonic
-   * clock, 0 if it does not or the list has not been read.
-   */
-  long unlistedSinceMs;
-
   /** Whether a lease renewal is under way. */
   boolean renewalPending;
 
@@ -166,7 +157,7 @@
     appliedCompletion = 0;
     readClock(newEntry.serverClockMs(), nowMs);
     leasesExpiredMs =
-        Math.max(leasesExpiredMs, nowMs + longestDurationMs(PlanReducer.MAX_LEASE_MS));
+        Math.max(leasesExpiredMs, nowMs + PlanReducer.longestDurationMs(PlanReducer.MAX_LEASE_MS));
     tasks.stream()
         .filter(t -> t.phase != TaskPhase.ORDERED)
         .forEach(t -> t.absenceConclusiveAfterMs = t.stopSent ? t.absenceConclusiveAfterMs : nowMs);
@@ -291,18 +282,10 @@
    */
   long extendLease(long lengthMs, long nowMs) {
     long slowestClockMs = serverClockMs + (long) ((nowMs - clockReadMs) * MIN_CLOCK_RATE);
-    leasesExpiredMs = Math.max(leasesExpiredMs, nowMs + longestDurationMs(lengthMs));
+    leasesExpiredMs = Math.max(leasesExpiredMs, nowMs + PlanReducer.longestDurationMs(lengthMs));
     return slowestClockMs + lengthMs;
   }
 
-  /**
-   * Returns the longest time that a backend server's clock takes for a length, in milliseconds of
-   * the planner's clock.
-   */
-  static long longestDurationMs(long lengthMs) {
-    return (long) (lengthMs / MIN_CLOCK_RATE) + 1;
-  }
-
   /**
    * Limits the time at which all leases have expired. The backend server has seen the fencing token
    * of this planner for this incarnation, so no lease is longer than one that a predecessor gave
@@ -312,7 +295,7 @@
    */
   void capLeases(long nowMs) {
     long lengthMs = formerIncarnations == 0 ? PlanReducer.LEASE_MS : PlanReducer.MAX_LEASE_MS;
-    long longest = longestDurationMs(lengthMs + CLOCK_DRIFT_MS);
+    long longest = PlanReducer.longestDurationMs(lengthMs + CLOCK_DRIFT_MS);
     leasesExpiredMs = Math.min(leasesExpiredMs, nowMs + longest);
   }
 
--- a/core/src/main/java/dev/toucanstall/core/plan/ServerRules.java
+++ b/core/src/main/java/dev/toucanstall/core/plan/ServerRules.java
@@ -3,7 +3,6 @@
 import dev.toucanstall.core.job.ServerEntry;
 import dev.toucanstall.core.job.TaskPhase;
 import java.util.List;
-import java.util.Optional;
 import java.util.Set;
 import java.util.stream.Collectors;
 
@@ -24,13 +23,6 @@
    */
   private static final long MAX_RENEWAL_INTERVAL_MS = 2_000;
 
-  /**
-   * Time for which the entry of a backend server must be missing until it counts as gone, in
-   * milliseconds. The platform names 2 s after the store's return; the rest lets the leases of a
-   * backend server expire that was cut off shortly before.
-   */
-  private static final long MISSING_ENTRY_MS = 4_000;
-
   /** Pause before the next renewal of a backend server that did not answer, in milliseconds. */
   private static final long UNRESPONSIVE_PAUSE_MS = 400;
 
@@ -39,22 +31,16 @@
   /** Applies changes of the list of backend servers. */
   static void serversRead(Plan plan, PlanEvent.ServersRead read, Now now) {
     read.updated().forEach(entry -> applyEntry(plan, entry, now));
-    read.removed().forEach(id -> unlist(plan, id, now));
+    read.removed().forEach(id -> unlist(plan, id));
     if (read.complete()) {
       Set<String> ids = read.updated().stream().map(ServerEntry::id).collect(Collectors.toSet());
       plan.servers.values().stream()
           .map(server -> server.entry.id())
           .filter(id -> !ids.contains(id))
           .toList()
-          .forEach(id -> unlist(plan, id, now));
-      if (!plan.serverListComplete) {
-        plan.serverListComplete = true;
-        plan.servers.values().stream()
-            .filter(server -> server.unlisted)
-            .forEach(server -> server.unlistedSinceMs = now.steadyMs());
-      }
+          .forEach(id -> unlist(plan, id));
+      plan.serverListComplete = true;
     }
-    plan.serverListRequestedMs = Math.max(plan.serverListRequestedMs, read.requestedMs());
   }
 
   /**
@@ -90,17 +76,15 @@
     }
     existing.updateEntry(entry);
     existing.unlisted = false;
-    existing.unlistedSinceMs = 0;
   }
 
   /** Marks a backend server as removed from the list. Forgets it if it has no tasks. */
-  private static void unlist(Plan plan, String id, Now now) {
+  private static void unlist(Plan plan, String id) {
     Server server = plan.servers.get(id);
     if (server == null || server.unlisted) {
       return;
     }
     server.unlisted = true;
-    server.unlistedSinceMs = now.steadyMs();
     logServerEvent(plan, "server-unlisted", server, "tasks " + server.tasks.size());
     if (server.tasks.isEmpty()) {
       plan.servers.remove(id);
@@ -180,9 +164,8 @@
       return;
     }
     for (Server server : plan.servers.takeDueForRenewal()) {
-      if (server.unresponsiveSinceMs > 0) {
-        evidenceOfExpiry(plan, server, now)
-            .ifPresent(evidence -> leasesExpired(plan, server, evidence, now));
+      if (server.unresponsiveSinceMs > 0 && now.steadyMs() >= server.leasesExpiredMs) {
+        leasesExpired(plan, server, now);
       }
       if (needsRenewal(server, now)) {
         renewLease(plan, server, leaseMs, now);
@@ -194,31 +177,12 @@
     }
   }
 
-  /**
-   * Returns the evidence that all leases of a backend server have expired, empty if there is none.
-   *
-   * <p>The bound for the leases of earlier planners allows for one that prolonged them while the
-   * store was away. A backend server that has not answered this planner, and that a list lacks
-   * which was requested long enough after its entry was missed, does not reach the store: it had
-   * left or was cut off before, and counts as gone.
-   */
-  private static Optional<RunEvidence> evidenceOfExpiry(Plan plan, Server server, Now now) {
-    if (now.steadyMs() >= server.leasesExpiredMs) {
-      return Optional.of(new RunEvidence(RunEvidence.Kind.LEASES_EXPIRED, server.leasesExpiredMs));
-    }
-    boolean missing =
-        server.unlisted
-            && server.unlistedSinceMs > 0
-            && plan.serverListRequestedMs - server.unlistedSinceMs >= MISSING_ENTRY_MS;
-    return missing && !server.everAnswered
-        ? Optional.of(new RunEvidence(RunEvidence.Kind.ENTRY_MISSING, server.unlistedSinceMs))
-        : Optional.empty();
-  }
-
   /** Releases the tasks of a backend server whose leases have all expired. */
-  private static void leasesExpired(Plan plan, Server server, RunEvidence evidence, Now now) {
+  private static void leasesExpired(Plan plan, Server server, Now now) {
     if (!server.tasks.isEmpty()) {
       logServerEvent(plan, "leases-out", server, "tasks " + server.tasks.size());
+      RunEvidence evidence =
+          new RunEvidence(RunEvidence.Kind.LEASES_EXPIRED, server.leasesExpiredMs);
       releaseAll(plan, server, evidence, now);
     }
     server.answered = false;
--- a/core/src/test/java/dev/toucanstall/core/node/FollowersTest.java
+++ b/core/src/test/java/dev/toucanstall/core/node/FollowersTest.java
@@ -54,7 +54,7 @@
   @Test
   void clearRemovesFollowers() {
     ping(0, 2_000, 1, 1.5);
-    followers.clear();
+    followers.clear(0);
     assertThat(followers.findSuccessor(SMALL, 2_000)).isEmpty();
   }
 
--- a/core/src/test/java/dev/toucanstall/core/node/NodeTest.java
+++ b/core/src/test/java/dev/toucanstall/core/node/NodeTest.java
@@ -398,11 +398,11 @@
     handle(new NodeEvent.Joined(true));
     handle(new NodeEvent.Elected(1, 7, List.of()));
     handle(new NodeEvent.PeerPinged(4, 1));
-    assertThat(effects).contains(new NodeEffect.AnswerPing(4, true, false));
+    assertThat(effects).contains(new NodeEffect.AnswerPing(4, true, false, -1, 0));
     effects.clear();
     advance(1_301);
     handle(new NodeEvent.PeerPinged(4, 1));
-    assertThat(effects).contains(new NodeEffect.AnswerPing(4, false, false));
+    assertThat(effects).contains(new NodeEffect.AnswerPing(4, false, false, -1, 1_301));
   }
 
   @Test
@@ -605,10 +605,10 @@
     handle(new NodeEvent.StopAsked(6_000));
     effects.clear();
     handle(new NodeEvent.PeerPinged(4, 0.36));
-    assertThat(effects).contains(new NodeEffect.AnswerPing(4, true, true));
+    assertThat(effects).contains(new NodeEffect.AnswerPing(4, true, true, -1, 1_000));
     advance(750);
     handle(new NodeEvent.PeerPinged(4, 0.36));
-    assertThat(effects).contains(new NodeEffect.AnswerPing(4, false, true));
+    assertThat(effects).contains(new NodeEffect.AnswerPing(4, false, true, -1, 1_750));
   }
 
   /**
--- a/core/src/test/java/dev/toucanstall/core/plan/NodeSimulation.java
+++ b/core/src/test/java/dev/toucanstall/core/plan/NodeSimulation.java
@@ -243,7 +243,8 @@
             return;
           }
           NodeEvent elected =
-              new NodeEvent.Elected(epoch, 1, platform.records(), claimedEpoch, fencedMs);
+              new NodeEvent.Elected(
+                  epoch, 1, platform.records(), claimedEpoch, fencedMs, platform.logEnd++);
           claimedEpoch = epoch;
           after(storeLatencyMs(), () -> candidate.post(elected));
         });
--- a/core/src/test/java/dev/toucanstall/core/plan/PlanSimulation.java
+++ b/core/src/test/java/dev/toucanstall/core/plan/PlanSimulation.java
@@ -222,6 +222,9 @@
 
   long lastSequence = -1;
 
+  /** Number of records in the log. */
+  long logEnd = 1;
+
   /** Newest planner, null if there was none. */
   @Nullable Planner planner;
 
@@ -312,17 +315,19 @@
    * Starts a planner with the next epoch. The store fences the last one, which may still be active.
    */
   Planner electPlanner() {
+    return electPlanner(Plan.predecessorLeasesEndMs(nowMs, Long.MAX_VALUE));
+  }
+
+  /**
+   * Starts a planner with the next epoch that knows when the leases of earlier planners have
+   * expired, in milliseconds of the monotonic clock.
+   */
+  Planner electPlanner(long predecessorLeasesEndMs) {
     fence(lowestEpoch + 1);
     Planner next =
         new Planner(
             new Plan(
-                lowestEpoch,
-                1,
-                catalog(),
-                records(),
-                now(),
-                storeLimits,
-                Plan.predecessorLeasesEndMs(nowMs, false)));
+                lowestEpoch, 1, catalog(), records(), now(), storeLimits, predecessorLeasesEndMs));
     planner = next;
     next.handle(serversRead(true));
     return next;
@@ -612,13 +617,17 @@
   /** Carries out an append and reports the result, or a timeout if the answer is lost. */
   private void append(Consumer<PlanEvent> replyTo, PlanEffect.Append append, long sentMs) {
     StoreResult result = storeAvailable ? store(append) : StoreResult.NOT_DONE;
+    final long endAfterAppend = logEnd;
     boolean answerLost = result == StoreResult.DONE && random.nextDouble() < answerLossRate;
     after(
         answerLost ? 1_000 : networkDelayMs() + storeDelayMs,
         () ->
             replyTo.accept(
                 new PlanEvent.Appended(
-                    append.sequence(), sentMs, answerLost ? StoreResult.MAYBE : result)));
+                    append.sequence(),
+                    sentMs,
+                    answerLost ? StoreResult.MAYBE : result,
+                    answerLost || result != StoreResult.DONE ? -1 : endAfterAppend)));
   }
 
   /**
@@ -629,7 +638,7 @@
     if (append.epoch() < lowestEpoch) {
       return StoreResult.FENCED;
     }
-    if (append.records().isEmpty() || append.sequence() == lastSequence) {
+    if (append.sequence() == lastSequence) {
       return StoreResult.DONE;
     }
     if (append.records().stream().mapToInt(RecordSize::maxBytes).sum() > storeLimits.callBytes()
@@ -638,6 +647,7 @@
       return StoreResult.TOO_LARGE;
     }
     lastSequence = append.sequence();
+    logEnd += Math.max(1, append.records().size());
     append.records().forEach(this::store);
     return StoreResult.DONE;
   }
--- a/core/src/test/java/dev/toucanstall/core/plan/PlanTest.java
+++ b/core/src/test/java/dev/toucanstall/core/plan/PlanTest.java
@@ -266,12 +266,11 @@
   }
 
   /**
-   * Guards against lasting tasks that stay without a run for a bound which allows for leases that
-   * an earlier planner prolonged: the planner was lost before an outage of the store, and a backend
-   * server left before the next planner read the list.
+   * Guards against a wait that counts from the election though the last planner was lost long
+   * before: its backend server had left, and a lasting task stays without a run.
    */
   @Test
-  void tasksOfServerThatLeftBeforeNextPlannerReadTheListAreStartedSoon() {
+  void tasksOfServerThatLeftLongAfterTheLastConfirmationAreStartedSoon() {
     PlanSimulation sim = new PlanSimulation(1);
     final SimulatedServer left = sim.addServer("w1", 10_000);
     final PlanSimulation.Planner firstPlanner = sim.electPlanner();
@@ -283,7 +282,7 @@
     left.crash();
     left.reachable = false;
     sim.addServer("w2", 10_000);
-    sim.electPlanner();
+    sim.electPlanner(Plan.predecessorLeasesEndMs(firstPlanner.plan.confirmedMs(), Long.MAX_VALUE));
     sim.run(5_500);
     assertThat(sim.requireServer("w2").running).hasSize(3);
     assertThat(sim.violations).isEmpty();
--- a/core/src/test/java/dev/toucanstall/core/plan/SimulatedInstance.java
+++ b/core/src/test/java/dev/toucanstall/core/plan/SimulatedInstance.java
@@ -238,7 +238,12 @@
       case NodeEffect.AnswerPing answer ->
           sendToPeer(
               answer.link(),
-              new NodeEvent.PeerPonged(address, answer.plans(), answer.yields()),
+              new NodeEvent.PeerPonged(
+                  address,
+                  answer.plans(),
+                  answer.yields(),
+                  answer.logEnd(),
+                  answer.confirmedAgeMs()),
               false);
       case NodeEffect.DeclinePeer decline ->
           reply(
--- a/entry/src/main/java/dev/toucanstall/entry/node/NodeEffectRunner.java
+++ b/entry/src/main/java/dev/toucanstall/entry/node/NodeEffectRunner.java
@@ -115,7 +115,10 @@
       case NodeEffect.AnswerPeer answer ->
           reply(answer, new NodeMessage.Reply(answer.number(), answer.answer()));
       case NodeEffect.AnswerPing answer ->
-          plannerServer.send(answer.link(), new NodeMessage.Pong(answer.plans(), answer.yields()));
+          plannerServer.send(
+              answer.link(),
+              new NodeMessage.Pong(
+                  answer.plans(), answer.yields(), answer.logEnd(), answer.confirmedAgeMs()));
       case NodeEffect.DeclinePeer decline ->
           reply(decline, new NodeMessage.NotPlanner(decline.number(), decline.maybeStored()));
       case NodeEffect.Follow follow -> plannerLink.follow(follow.planner());
@@ -166,7 +169,8 @@
                     won.nextSequence(),
                     won.records(),
                     won.predecessor(),
-                    won.fencedMs());
+                    won.fencedMs(),
+                    won.logEnd());
             case JobLog.ElectionResult.Unreadable unreadable ->
                 new NodeEvent.RecordsUnreadable(unreadable.reason());
             case JobLog.ElectionResult.Lost lost ->
@@ -281,15 +285,16 @@
 
   private void append(PlanEffect.Append append) {
     long sentMs = clock.steadyMs();
+    Consumer<StoreResult> latencyRecorder = timed("append", result -> {});
     jobLog.append(
         append.epoch(),
         append.sequence(),
         append.records(),
-        timed(
-            "append",
-            result ->
-                postPlanEvent(
-                    append.epoch(), new PlanEvent.Appended(append.sequence(), sentMs, result))));
+        (result, logEnd) -> {
+          latencyRecorder.accept(result);
+          postPlanEvent(
+              append.epoch(), new PlanEvent.Appended(append.sequence(), sentMs, result, logEnd));
+        });
   }
 
   /** Wraps a receiver so that the time from this call to the result is recorded. */
--- a/entry/src/main/java/dev/toucanstall/entry/node/PlannerLink.java
+++ b/entry/src/main/java/dev/toucanstall/entry/node/PlannerLink.java
@@ -143,7 +143,9 @@
       case NodeMessage.NotPlanner declined ->
           events.accept(new NodeEvent.PeerDeclined(from, declined.number(), declined.taken()));
       case NodeMessage.Pong pong ->
-          events.accept(new NodeEvent.PeerPonged(from, pong.plans(), pong.yields()));
+          events.accept(
+              new NodeEvent.PeerPonged(
+                  from, pong.plans(), pong.yields(), pong.logEnd(), pong.confirmedAgeMs()));
       case NodeMessage.Alive alive -> {}
       case NodeMessage.Ping ping -> LogLine.of("ping-unexpected").warn(LOG);
       case NodeMessage.Ask request ->
--- a/wire/src/test/java/dev/toucanstall/wire/job/JobCodecTest.java
+++ b/wire/src/test/java/dev/toucanstall/wire/job/JobCodecTest.java
@@ -155,7 +155,7 @@
             new NodeMessage.NotPlanner(1, true),
             new NodeMessage.Alive(),
             new NodeMessage.Ping(0.36),
-            new NodeMessage.Pong(true, false)));
+            new NodeMessage.Pong(true, false, 17, 250)));
   }
 
   @ParameterizedTest
