--- a/core/src/test/java/dev/toucanstall/core/plan/MissingEntryTest.java
+++ b/core/src/test/java/dev/toucanstall/core/plan/MissingEntryTest.java
@@ -6,7 +6,6 @@
 import java.util.List;
 import java.util.Objects;
 import java.util.stream.IntStream;
-import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 
 /**
@@ -69,14 +68,12 @@
    * takes the store for away for all, so it prolongs leases after it was cut off with their backend
    * servers.
    */
-  @Tag("known-red")
   @Test
   void leasesThatNewPlannerProlongedAreAwaitedThoughEntriesAreMissing() {
     runNewPlannerCutOff(USUAL_INTERVAL_MS);
   }
 
   /** Guards against the same with entries that expire before the next planner is elected. */
-  @Tag("known-red")
   @Test
   void leasesThatNewPlannerProlongedAreAwaitedThoughEntriesExpireSoon() {
     runNewPlannerCutOff(SHORT_INTERVAL_MS);
@@ -97,7 +94,6 @@
    * Guards against two runs of a task at once: a planner prolongs leases while the store is away
    * for all, and is cut off with their backend servers before the store returns.
    */
-  @Tag("known-red")
   @Test
   void leasesProlongedDuringAnOutageAreAwaitedThoughEntriesAreMissing() {
     NodeSimulation sim = simulation(1);
@@ -115,7 +111,6 @@
    * planner as well, so that another is elected soon; then the network divides, and the former
    * planner renews their leases as long as it may.
    */
-  @Tag("known-red")
   @Test
   void plainLeasesAreAwaitedThoughEntriesExpireSoon() {
     NodeSimulation sim = simulation(1);
