Bound the starts and stops under way, so that lease renewals never wait behind thousands

Some 12,700 starts queued at the client for four connections to each backend server, with the lease renewals behind them; their results then queued at the control thread (up to 10,443 events, waits of up to 9.6 s), where each searched all 3,200 tasks of its backend server (processor time of "Started" and "Stopped": nearly the whole of each second). Starts timed out and were sent again and stopped, which kept the queues full. Renewals were late, leases expired, calls got 503.

A start or stop now waits in the planner while 128 are under way, or 32 at its backend server; renewals never wait there. Placement requests no more starts while 512 are not sent, or 128 for one backend server, so tasks behind the bound stay waiting and their progress need not be stored. Conditions for a start are checked when its turn comes, as before when it was stored. The task of a result is looked up by its key.

--- a/core/src/main/java/dev/toucanstall/core/plan/LeaseRenewalRules.java
+++ b/core/src/main/java/dev/toucanstall/core/plan/LeaseRenewalRules.java
@@ -108,7 +108,7 @@
       listedTasks.add(active.task());
       applyActiveRun(plan, server, active, now);
     }
-    sendDueStops(plan, server);
+    sendDueStops(plan, server, now);
     if (listed.finished().size() < TRUNCATION_LENGTH) {
       releaseAbsent(plan, server, listedTasks, held.sentMs(), now);
     }
@@ -135,7 +135,7 @@
     Optional<Task> found = find(plan, active.task());
     if (found.isEmpty() || found.get().server != server || found.get().run != active.run()) {
       plan.logEvent("run-unknown", "server", server.entry.id(), "task", active.task().toString());
-      plan.emit(new PlanEffect.Stop(server.entry, plan.epoch, active.task(), active.run()));
+      OrderRules.stopUnknown(plan, server, active.task(), active.run());
       return;
     }
     Task task = found.get();
@@ -154,12 +154,12 @@
    * Sends the stops that have not reached a backend server, also of runs that its lists lack: a
    * start that is on its way may still reach it.
    */
-  private static void sendDueStops(Plan plan, Server server) {
+  private static void sendDueStops(Plan plan, Server server, Now now) {
     server.tasks.stream()
         .filter(t -> t.phase == TaskPhase.STOPPING && !t.stopAwaitsStore)
         .filter(t -> !t.stopSent || t.stopUndelivered)
         .toList()
-        .forEach(t -> OrderRules.sendStop(plan, t));
+        .forEach(t -> OrderRules.sendStop(plan, t, now));
   }
 
   /**
--- a/core/src/main/java/dev/toucanstall/core/plan/OrderRules.java
+++ b/core/src/main/java/dev/toucanstall/core/plan/OrderRules.java
@@ -29,25 +29,42 @@
 
   /**
    * Sends the start of a task's run once all changes so far are stored, or runs a fallback if the
-   * start is not allowed then. Does neither if the run no longer waits for its start.
+   * start is not allowed then. Does neither if the run no longer waits for its start. The start
+   * waits further while as many orders are under way as may be.
    */
   private static void sendOnceStored(Plan plan, Task task, Runnable fallback) {
     long run = task.run;
     Server server = task.server;
+    if (server == null) {
+      return;
+    }
+    plan.orders.startRequested(server);
     plan.ledger.runOnceStored(
-        (now, out) -> {
-          if (server == null || !task.awaitsStart(run, server)) {
-            return;
-          }
-          if (server.takesTasks(now.steadyMs()) && plan.mayIssueOrders(now)) {
-            sendStart(plan, server, task, now);
-          } else {
-            fallback.run();
-          }
-        });
+        (now, out) ->
+            plan.orders.submit(
+                server, later -> sendIfAwaited(plan, server, task, run, fallback, later), now));
+  }
+
+  /** Sends a start whose turn has come, and returns whether it was sent. */
+  private static boolean sendIfAwaited(
+      Plan plan, Server server, Task task, long run, Runnable fallback, Now now) {
+    plan.orders.startSettled(server);
+    if (plan.orders.hasDrained(server)) {
+      plan.markForPlacement(server);
+    }
+    if (!task.awaitsStart(run, server)) {
+      return false;
+    }
+    if (server.takesTasks(now.steadyMs()) && plan.mayIssueOrders(now)) {
+      sendStart(plan, server, task, now);
+      return true;
+    }
+    fallback.run();
+    return false;
   }
 
   private static void sendStart(Plan plan, Server server, Task task, Now now) {
+    plan.orders.sent(server, new OrderWindow.SentOrder(task.key, task.run, false));
     task.startsSent++;
     task.orderedMs = now.steadyMs();
     plan.emit(
@@ -87,7 +104,7 @@
           }
           task.stopAwaitsStore = false;
           if (task.stopSent || task.job.phase.ended() || stillAllowed.test(now)) {
-            sendStop(plan, task);
+            sendStop(plan, task, now);
           } else {
             continueRun(plan, task, now);
           }
@@ -101,28 +118,61 @@
     plan.ledger.changed(task.job);
   }
 
-  static void sendStop(Plan plan, Task task) {
+  /** Sends the stop of a task's run, which may have to wait until fewer orders are under way. */
+  static void sendStop(Plan plan, Task task, Now now) {
     Server server = task.server;
-    if (server != null) {
-      task.stopSent = true;
-      task.stopUndelivered = false;
-      plan.emit(new PlanEffect.Stop(server.entry, plan.epoch, task.key, task.run));
+    final long run = task.run;
+    if (server == null) {
+      return;
+    }
+    task.stopSent = true;
+    task.stopUndelivered = false;
+    plan.orders.submit(
+        server,
+        later -> {
+          boolean needed =
+              task.phase == TaskPhase.STOPPING && task.run == run && task.server == server;
+          if (needed) {
+            emitStop(plan, server, task.key, run);
+          }
+          return needed;
+        },
+        now);
+  }
+
+  /**
+   * Stops a run that the planner does not know. Does nothing while the same stop or as many orders
+   * as may be are under way: the next list shows the run again.
+   */
+  static void stopUnknown(Plan plan, Server server, TaskKey key, long run) {
+    if (plan.orders.hasRoom(server)
+        && !plan.orders.isUnderWay(new OrderWindow.SentOrder(key, run, true))) {
+      emitStop(plan, server, key, run);
     }
   }
 
+  private static void emitStop(Plan plan, Server server, TaskKey key, long run) {
+    plan.orders.sent(server, new OrderWindow.SentOrder(key, run, true));
+    plan.emit(new PlanEffect.Stop(server.entry, plan.epoch, key, run));
+  }
+
   /** Returns the task of a run that is bound to a backend server, or empty. */
-  private static Optional<Task> findBound(Server server, TaskKey key, long run) {
-    return server.tasks.stream().filter(t -> t.key.equals(key) && t.run == run).findFirst();
+  private static Optional<Task> findBound(Plan plan, Server server, TaskKey key, long run) {
+    Job job = plan.jobs.get(key.job());
+    return job == null
+        ? Optional.empty()
+        : job.find(key).filter(task -> task.server == server && task.run == run);
   }
 
   /** Handles the result of a start. */
   static void started(Plan plan, PlanEvent.Started started, Now now) {
+    plan.orders.ended(new OrderWindow.SentOrder(started.task(), started.run(), false), now);
     Server server = plan.servers.get(started.server());
     if (server == null) {
       return;
     }
     boolean sameIncarnation = server.entry.startTimeMs() == started.serverStartTimeMs();
-    Optional<Task> task = findBound(server, started.task(), started.run());
+    Optional<Task> task = findBound(plan, server, started.task(), started.run());
     switch (started.result()) {
       case OrderResult.Obeyed obeyed -> {
         if (sameIncarnation) {
@@ -243,13 +293,15 @@
 
   /** Handles the result of a stop. */
   static void stopped(Plan plan, PlanEvent.Stopped stopped, Now now) {
+    plan.orders.ended(new OrderWindow.SentOrder(stopped.task(), stopped.run(), true), now);
     Server server = plan.servers.get(stopped.server());
     if (server == null) {
       return;
     }
     boolean sameIncarnation = server.entry.startTimeMs() == stopped.serverStartTimeMs();
     Optional<Task> task =
-        findBound(server, stopped.task(), stopped.run()).filter(t -> t.phase == TaskPhase.STOPPING);
+        findBound(plan, server, stopped.task(), stopped.run())
+            .filter(t -> t.phase == TaskPhase.STOPPING);
     switch (stopped.result()) {
       case OrderResult.Obeyed obeyed ->
           task.ifPresent(t -> t.absenceConclusiveAfterMs = now.steadyMs());
@@ -267,7 +319,7 @@
           ServerRules.markUnresponsive(plan, server, "stop: connection refused", now);
         }
       }
-      case OrderResult.Unanswered unanswered -> task.ifPresent(t -> sendStop(plan, t));
+      case OrderResult.Unanswered unanswered -> task.ifPresent(t -> sendStop(plan, t, now));
     }
   }
 }
--- a/core/src/main/java/dev/toucanstall/core/plan/Placement.java
+++ b/core/src/main/java/dev/toucanstall/core/plan/Placement.java
@@ -25,7 +25,7 @@
     if (plan.servicesToPlace.isEmpty()) {
       return;
     }
-    if (!plan.mayIssueOrders(now)) {
+    if (!plan.mayIssueOrders(now) || !plan.orders.takesStarts()) {
       return;
     }
     List<String> services = List.copyOf(plan.servicesToPlace);
@@ -164,6 +164,10 @@
         if (!withinQuota(job, task.step.need())) {
           return;
         }
+        if (plan.orders.isFull()) {
+          plan.servicesToPlace.add(job.service);
+          return;
+        }
         Optional<Server> server = chooseServer(step, task);
         if (server.isEmpty()) {
           return;
@@ -249,7 +253,10 @@
           break;
         }
         plan.servers.countExamined();
-        if (!server.takesTasks(now.steadyMs()) || !need.fitsInto(server.freeCapacity())) {
+        boolean takesStart = task.step.gang() || plan.orders.takesStart(server);
+        if (!takesStart
+            || !server.takesTasks(now.steadyMs())
+            || !need.fitsInto(server.freeCapacity())) {
           continue;
         }
         anyFits = true;
--- a/core/src/main/java/dev/toucanstall/core/plan/Plan.java
+++ b/core/src/main/java/dev/toucanstall/core/plan/Plan.java
@@ -71,6 +71,9 @@
 
   final Machines machines = new Machines();
 
+  /** Bound on the orders that are under way. */
+  final OrderWindow orders = new OrderWindow();
+
   final Durations durations = new Durations();
 
   /** Rates at which work arrives. */
--- a/core/src/main/java/dev/toucanstall/core/plan/Server.java
+++ b/core/src/main/java/dev/toucanstall/core/plan/Server.java
@@ -3,6 +3,8 @@
 import dev.toucanstall.core.job.Resources;
 import dev.toucanstall.core.job.ServerEntry;
 import dev.toucanstall.core.job.TaskPhase;
+import java.util.ArrayDeque;
+import java.util.Deque;
 import java.util.LinkedHashSet;
 import java.util.Set;
 import org.jspecify.annotations.Nullable;
@@ -121,6 +123,15 @@
   /** Number of bound lasting tasks that are not filling. */
   int servingTasks;
 
+  /** Orders that wait until fewer are under way, oldest first. */
+  final Deque<OrderWindow.WaitingOrder> waitingOrders = new ArrayDeque<>();
+
+  /** Number of starts and stops that were sent and have no result yet. */
+  int ordersUnderWay;
+
+  /** Number of starts that are requested and not sent. */
+  int unsentStarts;
+
   /** Bound tasks in the order of their binding. */
   final Set<Task> tasks = new LinkedHashSet<>();
 
