--- a/core/src/main/java/dev/toucanstall/core/plan/LeaseRenewalRules.java
+++ b/core/src/main/java/dev/toucanstall/core/plan/LeaseRenewalRules.java
@@ -48,7 +48,8 @@
     server.markForRenewal();
     switch (held.result()) {
       case LeaseRenewalResult.Listed listed
-          when listed.serverStartTimeMs() > held.serverStartTimeMs() ->
+          when listed.serverStartTimeMs() != held.serverStartTimeMs()
+              && listed.serverStartTimeMs() > 0 ->
           ServerRules.restarted(
               plan, server, server.entry.withIncarnation(listed.serverStartTimeMs()), now);
       case LeaseRenewalResult.Listed listed -> applyLists(plan, server, held, listed, now);
@@ -87,10 +88,9 @@
       plan.markForPlacement(server);
     }
     if (!server.answered) {
-      server.capLeases(PlanReducer.LEASE_MS, now.steadyMs());
+      server.capLeases(now.steadyMs());
     }
     server.answered = true;
-    server.everAnswered = true;
     server.listRequestedMs = held.sentMs();
     server.unresponsiveSinceMs = 0;
     server.readClock(listed.serverClockMs(), now.steadyMs());
--- a/core/src/main/java/dev/toucanstall/core/plan/OrderRules.java
+++ b/core/src/main/java/dev/toucanstall/core/plan/OrderRules.java
@@ -70,7 +70,7 @@
     plan.emit(
         new PlanEffect.Start(
             server.entry,
-            plan.epoch,
+            server.fencingToken(plan.epoch),
             task.key,
             task.run,
             task.job.spec.text(),
@@ -153,7 +153,7 @@
 
   private static void emitStop(Plan plan, Server server, TaskKey key, long run) {
     plan.orders.sent(server, new OrderWindow.SentOrder(key, run, true));
-    plan.emit(new PlanEffect.Stop(server.entry, plan.epoch, key, run));
+    plan.emit(new PlanEffect.Stop(server.entry, server.fencingToken(plan.epoch), key, run));
   }
 
   /** Returns the task of a run that is bound to a backend server, or empty. */
@@ -180,6 +180,8 @@
         }
         task.ifPresent(t -> startConfirmed(t, now));
       }
+      case OrderResult.Rejected rejected when isFenced(rejected) && !sameIncarnation ->
+          task.ifPresent(t -> notStarted(plan, t, now));
       case OrderResult.Rejected rejected -> startRejected(plan, server, task, rejected, now);
       case OrderResult.OtherLife otherLife -> {
         task.ifPresent(t -> notStarted(plan, t, now));
@@ -211,6 +213,14 @@
     }
   }
 
+  /**
+   * Returns whether a backend server has seen a higher fencing token than that of an order. It is
+   * this planner's own if the order was meant for a former incarnation.
+   */
+  private static boolean isFenced(OrderResult.Rejected rejected) {
+    return rejected.reason() == OrderResult.Reason.FENCED;
+  }
+
   private static void startConfirmed(Task task, Now now) {
     task.startUnanswered = false;
     task.absenceConclusiveAfterMs =
@@ -305,7 +315,9 @@
     switch (stopped.result()) {
       case OrderResult.Obeyed obeyed ->
           task.ifPresent(t -> t.absenceConclusiveAfterMs = now.steadyMs());
-      case OrderResult.Rejected rejected when rejected.reason() == OrderResult.Reason.FENCED ->
+      case OrderResult.Rejected rejected when isFenced(rejected) && !sameIncarnation ->
+          task.ifPresent(t -> t.stopUndelivered = true);
+      case OrderResult.Rejected rejected when isFenced(rejected) ->
           plan.emit(new PlanEffect.Resign("a backend server has seen a higher fencing token"));
       case OrderResult.Rejected rejected ->
           task.ifPresent(t -> t.absenceConclusiveAfterMs = now.steadyMs());
