Store the order to maintain a machine before it is sent

Cause: the order for a machine left without being stored; only machines whose maintenance had begun were. The planner ended before the platform answered. Its successor knew of no order, used the machine for tasks, and ordered the maintenance of another machine; the first order was carried out seconds later, which the platform allows, as it checks fencing tokens for each machine by itself. Ruled out: the count by the platform's list (nextPlannerCountsMachinesThatAreDown), which can't show an order that is yet to be carried out.

Change: an order is stored (JobRecord.OpenMaintenance, bounded like the orders to move machines) and sent only then. A planner that reads one counts the machine as away, gives its backend server no tasks, and sends the same order again once the machine is empty. The platform then answers that it has begun or was done already, and the new fencing token refuses the late one. An order stays until that answer; a rejected one, or one of a wave that nobody knows any more, stays until it can't be carried out any more. The answer to a repeated order may tell of maintenance that is over. It ended the planner's view of a backend server that ran on, which then stayed out of use and held the wave up; now the first list that shows the machine in service releases it.

--- a/core/src/main/java/dev/toucanstall/core/job/JobRecord.java
+++ b/core/src/main/java/dev/toucanstall/core/job/JobRecord.java
@@ -113,6 +113,30 @@
    */
   record MachineMove(String machine, String service, String server) {}
 
+  /**
+   * The orders to maintain machines that may still be carried out. Supersedes the earlier record of
+   * this kind.
+   *
+   * @param orders the open orders; empty if the record is deleted
+   */
+  record OpenMaintenance(List<MachineMaintenance> orders) implements JobRecord {
+
+    /** Copies the list of orders. */
+    public OpenMaintenance {
+      orders = List.copyOf(orders);
+    }
+  }
+
+  /**
+   * An order to maintain a machine.
+   *
+   * @param wave the wave's number
+   * @param machine the machine's name
+   * @param server id of the backend server on the machine, which the maintenance terminates; empty
+   *     if none runs there
+   */
+  record MachineMaintenance(int wave, String machine, String server) {}
+
   /**
    * The progress of a task.
    *
--- a/core/src/main/java/dev/toucanstall/core/job/RecordSize.java
+++ b/core/src/main/java/dev/toucanstall/core/job/RecordSize.java
@@ -24,6 +24,9 @@
   private static final int SCALARS_OF_STEP = 16;
   private static final int SCALARS_OF_TASK = 7;
 
+  /** Bytes of an order to maintain a machine without its texts: field names and the wave. */
+  private static final int ORDER_BYTES = 32 + SCALAR_BYTES;
+
   private RecordSize() {}
 
   /**
@@ -46,6 +49,9 @@
       case JobRecord.WaveProgress wave -> textBytes(wave.begun().stream());
       case JobRecord.OpenMoves moves ->
           textBytes(moves.moves().stream().flatMap(RecordSize::names));
+      case JobRecord.OpenMaintenance open ->
+          open.orders().size() * ORDER_BYTES
+              + textBytes(open.orders().stream().flatMap(o -> Stream.of(o.machine(), o.server())));
     };
   }
 
--- a/core/src/main/java/dev/toucanstall/core/plan/Machines.java
+++ b/core/src/main/java/dev/toucanstall/core/plan/Machines.java
@@ -42,6 +42,9 @@
   /** Names of the machines whose maintenance has begun, by the number of the wave. */
   private final Map<Integer, Set<String>> maintenanceBegun = new HashMap<>();
 
+  /** Orders to maintain machines whose outcome is not final. */
+  final MaintenanceOrders orders = new MaintenanceOrders();
+
   /**
    * Returns the names of the machines of a wave whose maintenance has begun, to be changed in
    * place.
--- a/core/src/main/java/dev/toucanstall/core/plan/Maintenance.java
+++ b/core/src/main/java/dev/toucanstall/core/plan/Maintenance.java
@@ -5,6 +5,7 @@
 import dev.toucanstall.core.job.WaveOrder;
 import java.util.Comparator;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 
@@ -41,7 +42,9 @@
     if (plan.waves.containsKey(order.number())) {
       return;
     }
-    plan.waves.put(order.number(), new Wave(order, now.steadyMs()));
+    plan.waves.put(
+        order.number(),
+        new Wave(order, plan.machines.orders.ofWave(order.number()), now.steadyMs()));
     plan.logEvent(
         "wave-ordered",
         "wave",
@@ -50,15 +53,35 @@
         Integer.toString(order.machines().size()));
   }
 
+  /** Restores the orders of earlier planners, which may yet be carried out. */
+  static void restore(Plan plan, JobRecord.OpenMaintenance open, Now now) {
+    for (JobRecord.MachineMaintenance recorded : open.orders()) {
+      plan.machines.orders.restore(recorded, now);
+      logOrder(
+          plan, recorded.wave(), recorded.machine(), "an earlier planner may have sent an order");
+    }
+  }
+
+  private static void logOrder(Plan plan, int wave, String machine, String reason) {
+    plan.logEvent(
+        "maintenance-ordered", "wave", Integer.toString(wave), "machine", machine, "why", reason);
+  }
+
   /**
    * Takes over a new list of machines. Machines that are in service again no longer count as away.
    */
   static void machinesRead(Plan plan, PlanEvent.MachinesRead read, Now now) {
     plan.machines.applyList(read.machines(), read.requestedMs(), now);
     for (Wave wave : plan.waves.values()) {
-      wave.downSinceMs
-          .entrySet()
-          .removeIf(e -> e.getValue() < read.requestedMs() && isBack(plan, e.getKey()));
+      List<String> back =
+          wave.downSinceMs.entrySet().stream()
+              .filter(e -> e.getValue() < read.requestedMs() && isBack(plan, e.getKey()))
+              .map(Map.Entry::getKey)
+              .toList();
+      for (String machine : back) {
+        wave.downSinceMs.remove(machine);
+        cancelEmptying(plan, wave, machine);
+      }
     }
   }
 
@@ -84,37 +107,57 @@
   /** Handles the result of an order to maintain a machine. */
   static void maintenanceEnded(Plan plan, PlanEvent.Maintained event, Now now) {
     Wave wave = plan.waves.get(event.wave());
-    if (wave == null) {
+    MaintenanceOrders.Order order = wave == null ? null : wave.orders.get(event.machine());
+    if (wave == null || order == null) {
       return;
     }
-    String machine = event.machine();
+    order.requestPending = false;
+    order.retryAfterMs = now.steadyMs() + RETRY_PAUSE_MS;
     plan.logEvent(
         "maintenance-answered",
         "wave",
         Integer.toString(event.wave()),
         "machine",
-        machine,
+        order.machine,
         "result",
         event.result().name());
     switch (event.result()) {
-      case BEGUN -> {
-        endServer(plan, wave, machine, now);
-        wave.ordered.remove(machine);
-        wave.downSinceMs.put(machine, now.steadyMs());
-        Set<String> begun = plan.machines.maintenanceBegun(event.wave());
-        begun.add(machine);
-        plan.ledger.addRecord(new JobRecord.WaveProgress(event.wave(), List.copyOf(begun)));
-      }
+      case BEGUN -> maintenanceBegun(plan, wave, order, now);
       case UNFIT -> {
-        cancelEmptying(plan, wave, machine);
-        wave.ordered.remove(machine);
-        wave.rejected.add(machine);
+        if (now.steadyMs() >= order.mayApplyUntilMs) {
+          cancelEmptying(plan, wave, order.machine);
+          endEvacuation(plan, order.server);
+          wave.rejected.add(order.machine);
+          plan.machines.orders.remove(order);
+          plan.ledger.addRecord(plan.machines.orders.openMaintenanceRecord());
+        }
       }
       case FENCED -> plan.emit(new PlanEffect.Resign("a machine has seen a higher fencing token"));
-      default -> wave.retryAfterMs.put(machine, now.steadyMs() + RETRY_PAUSE_MS);
+      case MAYBE -> order.mayApplyUntilMs = now.steadyMs() + PoolRebalancing.MAX_ORDER_DELAY_MS;
+      default -> {
+        // The order is sent again after a pause.
+      }
     }
   }
 
+  /**
+   * Handles maintenance that has begun, now or by an earlier request. In the second case the
+   * backend server may be a later one that runs on: it gets no tasks until a list shows the machine
+   * in service.
+   */
+  private static void maintenanceBegun(
+      Plan plan, Wave wave, MaintenanceOrders.Order order, Now now) {
+    if (!order.mayHaveBegun()) {
+      endServer(plan, wave, order.machine, now);
+    }
+    wave.downSinceMs.put(order.machine, now.steadyMs());
+    Set<String> begun = plan.machines.maintenanceBegun(order.wave);
+    begun.add(order.machine);
+    plan.ledger.addRecord(new JobRecord.WaveProgress(order.wave, List.copyOf(begun)));
+    plan.machines.orders.remove(order);
+    plan.ledger.addRecord(plan.machines.orders.openMaintenanceRecord());
+  }
+
   /** Ends the backend server of a machine, because maintenance ends all processes on it. */
   private static void endServer(Plan plan, Wave wave, String machine, Now now) {
     String id = wave.emptying.remove(machine);
@@ -128,16 +171,61 @@
   /** Lets the backend server of a machine take tasks again. */
   private static void cancelEmptying(Plan plan, Wave wave, String machine) {
     String id = wave.emptying.remove(machine);
-    Server server = id == null ? null : plan.servers.get(id);
+    if (id != null) {
+      endEvacuation(plan, id);
+    }
+  }
+
+  private static void endEvacuation(Plan plan, String serverId) {
+    Server server = plan.servers.get(serverId);
     if (server != null) {
       server.setEvacuating(false);
       plan.markForPlacement(server);
     }
   }
 
+  /**
+   * Removes the orders of earlier planners that need no answer: their maintenance has begun, or no
+   * wave that this planner knows of has the machine and they can't be carried out any more.
+   */
+  private static void removeObsoleteOrders(Plan plan, Now now) {
+    List<MaintenanceOrders.Order> removed =
+        plan.machines.orders.removeIf(order -> isObsolete(plan, order, now));
+    if (!removed.isEmpty()) {
+      for (MaintenanceOrders.Order order : removed) {
+        endEvacuation(plan, order.server);
+        plan.logEvent(
+            "maintenance-order-obsolete",
+            "wave",
+            Integer.toString(order.wave),
+            "machine",
+            order.machine);
+      }
+      plan.ledger.addRecord(plan.machines.orders.openMaintenanceRecord());
+    }
+  }
+
+  private static boolean isObsolete(Plan plan, MaintenanceOrders.Order order, Now now) {
+    Wave wave = plan.waves.get(order.wave);
+    boolean inWave = wave != null && wave.machines.contains(order.machine);
+    return plan.machines.maintenanceBegun(order.wave).contains(order.machine)
+        || (!inWave && now.steadyMs() >= order.mayApplyUntilMs);
+  }
+
+  /** Begins to evacuate a backend server, unless it is unknown or being evacuated. */
+  private static void evacuate(Plan plan, String serverId, Now now) {
+    Server server = plan.servers.get(serverId);
+    if (server != null && !server.evacuating) {
+      server.setEvacuating(true);
+      server.evacuatingSinceMs = now.steadyMs();
+    }
+  }
+
   static void advance(Plan plan, Now now) {
-    boolean anyOpen = plan.waves.values().stream().anyMatch(w -> !w.completed);
-    if (!anyOpen || !plan.mayIssueOrders(now)) {
+    removeObsoleteOrders(plan, now);
+    plan.machines.orders.all().forEach(order -> evacuate(plan, order.server, now));
+    boolean needsList = plan.waves.values().stream().anyMatch(Wave::needsList);
+    if (!needsList || !plan.mayIssueOrders(now)) {
       return;
     }
     plan.machines.requestList(plan, now);
@@ -160,7 +248,7 @@
       return;
     }
     for (String machine : remaining) {
-      if (wave.emptying.containsKey(machine)) {
+      if (wave.emptying.containsKey(machine) || wave.orders.containsKey(machine)) {
         orderIfEmpty(plan, wave, machine, now);
       }
     }
@@ -189,21 +277,40 @@
    */
   private static boolean mayExist(Plan plan, Wave wave, String machine) {
     return plan.machines.byName.containsKey(machine)
-        || wave.ordered.contains(machine)
+        || wave.orders.containsKey(machine)
         || plan.moves.isMoving(machine);
   }
 
-  /** Orders the maintenance of a machine if no task is left on it. */
+  /**
+   * Orders the maintenance of a machine if no task is left on it. The order is sent once the intent
+   * is stored, so that the next planner counts the machine as away until the outcome is known.
+   */
   private static void orderIfEmpty(Plan plan, Wave wave, String machine, Now now) {
     if (!isEmpty(plan, wave, machine, now)) {
       return;
     }
-    if (now.steadyMs() < wave.retryAfterMs.getOrDefault(machine, 0L)) {
+    MaintenanceOrders.Order order = wave.orders.get(machine);
+    if (order == null) {
+      addOrder(plan, wave, machine);
+    } else if (order.stored && !order.requestPending && now.steadyMs() >= order.retryAfterMs) {
+      order.requestPending = true;
+      plan.emit(new PlanEffect.Maintain(order.wave, machine, plan.epoch));
+    }
+  }
+
+  /** Adds an order; adds none while the record of open orders has no room for it. */
+  private static void addOrder(Plan plan, Wave wave, String machine) {
+    MaintenanceOrders orders = plan.machines.orders;
+    if (!orders.hasRoom(plan.storeLimits.recordBytes())) {
       return;
     }
-    wave.retryAfterMs.put(machine, Long.MAX_VALUE);
-    wave.ordered.add(machine);
-    plan.emit(new PlanEffect.Maintain(wave.order.number(), machine, plan.epoch));
+    MaintenanceOrders.Order order =
+        new MaintenanceOrders.Order(
+            wave.order.number(), machine, wave.emptying.getOrDefault(machine, ""));
+    orders.add(order);
+    logOrder(plan, order.wave, machine, "no task is left on the machine");
+    plan.ledger.addRecord(orders.openMaintenanceRecord());
+    plan.ledger.runOnceStored((later, out) -> order.stored = true);
   }
 
   /**
@@ -223,7 +330,7 @@
       boolean listIsCurrent = plan.machines.reflects(plan.moves.lastMovedMs(machine));
       return entry == null || (listIsCurrent && entry.up() && entry.serverId().isEmpty());
     }
-    server.setEvacuating(true);
+    evacuate(plan, server.entry.id(), now);
     return server.tasks.isEmpty() && server.answered;
   }
 
@@ -291,11 +398,7 @@
   /** Begins to empty a machine: evacuates its backend server. */
   private static void beginEmptying(Plan plan, Wave wave, MachineEntry machine, Now now) {
     wave.emptying.put(machine.name(), machine.serverId());
-    Server server = plan.servers.get(machine.serverId());
-    if (server != null) {
-      server.setEvacuating(true);
-      server.evacuatingSinceMs = now.steadyMs();
-    }
+    evacuate(plan, machine.serverId(), now);
     plan.logEvent(
         "machine-emptying",
         "wave",
--- a/core/src/main/java/dev/toucanstall/core/plan/PoolRebalancing.java
+++ b/core/src/main/java/dev/toucanstall/core/plan/PoolRebalancing.java
@@ -172,6 +172,7 @@
         && !plan.moves.isMoving(name)
         && now.steadyMs() >= plan.moves.nextOrderMs.getOrDefault(name, 0L)
         && plan.moves.fits(name, service)
+        && !plan.machines.orders.contains(name)
         && plan.waves.values().stream().noneMatch(w -> w.handles(name));
   }
 
--- a/core/src/main/java/dev/toucanstall/core/plan/Recovery.java
+++ b/core/src/main/java/dev/toucanstall/core/plan/Recovery.java
@@ -36,6 +36,7 @@
         case JobRecord.WaveProgress progress ->
             plan.machines.maintenanceBegun(progress.wave()).addAll(progress.begun());
         case JobRecord.OpenMoves open -> open.moves().forEach(m -> plan.moves.restore(m, now));
+        case JobRecord.OpenMaintenance open -> Maintenance.restore(plan, open, now);
         case JobRecord.Forgotten forgotten -> plan.jobs.remove(forgotten.job());
       }
     }
--- a/core/src/main/java/dev/toucanstall/core/plan/Wave.java
+++ b/core/src/main/java/dev/toucanstall/core/plan/Wave.java
@@ -26,8 +26,8 @@
    */
   final Map<String, String> emptying = new HashMap<>();
 
-  /** Names of the machines whose order is under way or may have been carried out. */
-  final Set<String> ordered = new HashSet<>();
+  /** Orders whose outcome is not final by the name of the machine. */
+  final Map<String, MaintenanceOrders.Order> orders;
 
   /**
    * Time at which the maintenance of each machine that is down began, by its name, in milliseconds
@@ -41,19 +41,21 @@
    */
   final Set<String> rejected = new HashSet<>();
 
-  /**
-   * Earliest time of the next order for a machine, by its name, in milliseconds of the monotonic
-   * clock; {@link Long#MAX_VALUE} while an order is under way.
-   */
-  final Map<String, Long> retryAfterMs = new HashMap<>();
-
   /** Whether the maintenance of every machine that still exists has begun. */
   boolean completed;
 
   /** Whether the start of the wave was reported to the operators. */
   boolean startReported;
 
-  Wave(WaveOrder order, long nowMs) {
+  /**
+   * Creates a wave.
+   *
+   * @param order the operator's order
+   * @param orders orders for machines of the wave, kept up to date by the owner
+   * @param nowMs time of the event, in milliseconds of the monotonic clock
+   */
+  Wave(WaveOrder order, Map<String, MaintenanceOrders.Order> orders, long nowMs) {
+    this.orders = orders;
     this.order = order;
     this.machines = Set.copyOf(order.machines());
     this.deadlineMs = nowMs + order.durationMs();
@@ -62,19 +64,27 @@
   /** Returns whether a machine is being emptied or maintained. */
   boolean handles(String machine) {
     return emptying.containsKey(machine)
-        || ordered.contains(machine)
+        || orders.containsKey(machine)
         || downSinceMs.containsKey(machine);
   }
 
+  /**
+   * Returns whether a list of machines is needed: the wave is not completed, or a maintained
+   * machine has a backend server that gets no tasks until a list shows the machine in service.
+   */
+  boolean needsList() {
+    return !completed || emptying.keySet().stream().anyMatch(downSinceMs::containsKey);
+  }
+
   /**
    * Counts the machines that are being emptied or maintained, also those whose maintenance an
-   * earlier planner has ordered.
+   * earlier planner has ordered and which are down or may yet go down.
    *
    * @param machinesByName machines of the newest list by name
    */
   int unavailableCount(Map<String, MachineEntry> machinesByName) {
     Set<String> unavailable = new HashSet<>(emptying.keySet());
-    unavailable.addAll(ordered);
+    unavailable.addAll(orders.keySet());
     unavailable.addAll(downSinceMs.keySet());
     order.machines().stream()
         .filter(m -> machinesByName.containsKey(m) && !machinesByName.get(m).up())
--- a/core/src/test/java/dev/toucanstall/core/plan/PlanSimulation.java
+++ b/core/src/test/java/dev/toucanstall/core/plan/PlanSimulation.java
@@ -647,6 +647,7 @@
       case JobRecord.Forgotten f -> stored.remove("p/" + f.job());
       case JobRecord.WaveProgress w -> stored.put("w/" + w.wave(), w);
       case JobRecord.OpenMoves m -> stored.put("moves", m);
+      case JobRecord.OpenMaintenance m -> stored.put("maintenance", m);
     }
   }
 
--- a/wire/src/test/java/dev/toucanstall/wire/job/JobCodecTest.java
+++ b/wire/src/test/java/dev/toucanstall/wire/job/JobCodecTest.java
@@ -110,7 +110,14 @@
         new JobRecord.ProgressPart("0123456789abcdef", 199, tasks),
         new JobRecord.WaveProgress(1, List.of("€".repeat(200))),
         new JobRecord.OpenMoves(
-            List.of(new JobRecord.MachineMove("m".repeat(200), "s".repeat(200), "i".repeat(200)))));
+            List.of(new JobRecord.MachineMove("m".repeat(200), "s".repeat(200), "i".repeat(200)))),
+        new JobRecord.OpenMaintenance(
+            Stream.generate(
+                    () ->
+                        new JobRecord.MachineMaintenance(
+                            Integer.MAX_VALUE, "€".repeat(20), "i".repeat(20)))
+                .limit(100)
+                .toList()));
   }
 
   /** Guards against a part of a job's progress that is larger than a record of the usual limit. */
@@ -136,7 +143,8 @@
         new JobRecord.Closed("j", "q", JobPhase.CANCELLED, 9),
         new JobRecord.Forgotten("j"),
         new JobRecord.WaveProgress(1, List.of("m-1")),
-        new JobRecord.OpenMoves(List.of(new JobRecord.MachineMove("m-1", "s", "i-1"))));
+        new JobRecord.OpenMoves(List.of(new JobRecord.MachineMove("m-1", "s", "i-1"))),
+        new JobRecord.OpenMaintenance(List.of(new JobRecord.MachineMaintenance(1, "m-1", "i-1"))));
   }
 
   static Stream<NodeMessage> messages() {
