Let answers to requests of before a suspension confirm nothing

Callers: after a suspension in which the monotonic clock stands still, an entry instance that is cut off from the store could admit calls with a withdrawn API key for up to 3.5 s more, and a planner could give starts for 2.5 s and leases to the end of its horizon, although its successor counts from the fencing.

Cause: the suspension made the planner ask the store again and marked the configuration as outdated, but the answer to a request of before the suspension, which arrives as soon as the process wakes, counted from its request on the clock that had stood still, and so took both back.

Change: an append confirms the fencing token only if it was sent after the first append since the suspension was noticed, and a read of the configuration only if it was requested after that. What the answers say otherwise counts as before. An append that confirms nothing is followed by another at once.

--- a/core/src/main/java/dev/toucanstall/core/node/FreshnessRules.java
+++ b/core/src/main/java/dev/toucanstall/core/node/FreshnessRules.java
@@ -22,13 +22,17 @@
   private static final long SUSPENSION_GAIN_MS = 500;
 
   /** Time before all others; half the minimum, so that differences do not overflow. */
-  private static final long NEVER_MS = Long.MIN_VALUE / 2;
+  static final long NEVER_MS = Long.MIN_VALUE / 2;
 
   private FreshnessRules() {}
 
   /**
    * Checks whether the machine may have been suspended since the last event. If so, the
-   * configuration counts as outdated and the store must confirm the planner's epoch again.
+   * configuration counts as outdated and the store must confirm the planner's epoch again. Answers
+   * to what the store was asked before confirm neither, because their age is unknown.
+   *
+   * <p>A monotonic clock that counts suspensions makes this needless; then only a wall clock that
+   * is set forward is noticed here.
    */
   static void detectSuspension(Node node, Now now) {
     Now lastEventTime = node.lastEventTime;
@@ -41,6 +45,7 @@
     if (gainMs > SUSPENSION_GAIN_MS) {
       node.logEvent("clock-gained", "ms", Long.toString(gainMs));
       node.catalogRequestedMs = NEVER_MS;
+      node.suspensionNoticedMs = now.steadyMs();
       Plan plan = node.plan;
       if (plan != null) {
         plan.requireReconfirmation();
@@ -66,7 +71,9 @@
           Integer.toString(latest.queuesByName().size()));
       Terms.applyToPlan(node, new PlanEvent.CatalogChanged(latest), now);
     }
-    node.catalogRequestedMs = Math.max(node.catalogRequestedMs, read.requestedMs());
+    if (read.requestedMs() > node.suspensionNoticedMs) {
+      node.catalogRequestedMs = Math.max(node.catalogRequestedMs, read.requestedMs());
+    }
   }
 
   static void updateReadiness(Node node, Now now) {
--- a/core/src/main/java/dev/toucanstall/core/node/Node.java
+++ b/core/src/main/java/dev/toucanstall/core/node/Node.java
@@ -63,7 +63,13 @@
    * Time of the last request that confirmed the configuration as current, in milliseconds of the
    * monotonic clock.
    */
-  long catalogRequestedMs = Long.MIN_VALUE / 2;
+  long catalogRequestedMs = FreshnessRules.NEVER_MS;
+
+  /**
+   * Time at which a suspension of the machine was last noticed, in milliseconds of the monotonic
+   * clock.
+   */
+  long suspensionNoticedMs = FreshnessRules.NEVER_MS;
 
   /** Whether calls can be sent to the planner over an established link. */
   boolean leaderReachable;
--- a/core/src/main/java/dev/toucanstall/core/plan/Ledger.java
+++ b/core/src/main/java/dev/toucanstall/core/plan/Ledger.java
@@ -41,6 +41,9 @@
   /** Shortest time between two appends, in milliseconds, so that several changes share one. */
   private static final long MIN_APPEND_INTERVAL_MS = 8;
 
+  /** Time before all others; half the minimum, so that differences do not overflow. */
+  private static final long NEVER_MS = Long.MIN_VALUE / 2;
+
   /** Action that relies on a change and runs once the change is stored. */
   @FunctionalInterface
   interface StoredAction {
@@ -110,6 +113,13 @@
    */
   private long confirmedMs;
 
+  /**
+   * Time after which an append must have been sent to confirm the fencing token, in milliseconds of
+   * the monotonic clock; the maximum while no append has been sent since the last confirmation was
+   * discarded.
+   */
+  private long confirmableAfterMs = NEVER_MS;
+
   /**
    * Creates a writer without changes.
    *
@@ -170,10 +180,12 @@
 
   /**
    * Discards the confirmation of the fencing token, so that the store is asked for another at once.
+   * Appends that were sent before do not confirm it: how long ago that was is unknown.
    */
   void requireReconfirmation() {
-    confirmedMs = Long.MIN_VALUE / 2;
-    lastSentMs = Long.MIN_VALUE / 2;
+    confirmedMs = NEVER_MS;
+    lastSentMs = NEVER_MS;
+    confirmableAfterMs = Long.MAX_VALUE;
   }
 
   /** Returns whether the store has an outage: the append under way has not succeeded in time. */
@@ -199,7 +211,7 @@
     switch (event.result()) {
       case DONE -> {
         pending = null;
-        confirmedMs = Math.max(confirmedMs, event.sentMs());
+        confirmed(event.sentMs());
         current.actions.forEach(action -> action.run(now, out));
       }
       case FENCED -> out.accept(new PlanEffect.Resign("the store refused the fencing token"));
@@ -211,6 +223,15 @@
     }
   }
 
+  /** Counts an append as a confirmation, or has another one sent at once if it is none. */
+  private void confirmed(long sentMs) {
+    if (sentMs > confirmableAfterMs) {
+      confirmedMs = Math.max(confirmedMs, sentMs);
+    } else {
+      lastSentMs = NEVER_MS;
+    }
+  }
+
   /**
    * Handles an append that the store never takes: sends the first half of its records under the
    * same number, or gives up its only record. The actions wait for the other records.
@@ -282,7 +303,7 @@
   private void retryIfDue(PendingAppend current, Now now, Consumer<PlanEffect> out) {
     if (retryAtMs > 0 && now.steadyMs() >= retryAtMs) {
       retryAtMs = 0;
-      out.accept(new PlanEffect.Append(epoch, current.sequence, current.records));
+      emit(current, now, out);
     }
   }
 
@@ -291,7 +312,12 @@
     failedAttempts = 0;
     retryAtMs = 0;
     lastSentMs = now.steadyMs();
-    out.accept(new PlanEffect.Append(epoch, next.sequence, next.records));
+    emit(next, now, out);
+  }
+
+  private void emit(PendingAppend append, Now now, Consumer<PlanEffect> out) {
+    confirmableAfterMs = Math.min(confirmableAfterMs, now.steadyMs());
+    out.accept(new PlanEffect.Append(epoch, append.sequence, append.records));
   }
 
   /**
