--- a/entry/src/main/java/dev/toucanstall/entry/node/NodeProcess.java
+++ b/entry/src/main/java/dev/toucanstall/entry/node/NodeProcess.java
@@ -200,6 +200,7 @@
     LogLine.of("started")
         .with("instance", settings.instanceName())
         .with("data-centre", settings.dataCentre())
+        .with("clock", clock.countsSuspensions() ? "counts-suspensions" : "monotonic")
         .info(LOG);
   }
 
