--- a/core/src/main/java/dev/toucanstall/core/plan/Ledger.java
+++ b/core/src/main/java/dev/toucanstall/core/plan/Ledger.java
@@ -61,7 +61,8 @@
    * Append that has not succeeded yet.
    *
    * @param sequence number of the append
-   * @param records records to store, empty if only the fencing token is confirmed
+   * @param records records to store, empty if only the fencing token is confirmed; the log grows by
+   *     a mark then
    * @param actions actions to run once the records are stored
    * @param firstSentMs time at which the append was first sent, in milliseconds of the monotonic
    *     clock
@@ -113,6 +114,9 @@
    */
   private long confirmedMs;
 
+  /** End of the log after the last append that succeeded, -1 if unknown. */
+  private long confirmedLogEnd = -1;
+
   /**
    * Time after which an append must have been sent to confirm the fencing token, in milliseconds of
    * the monotonic clock; the maximum while no append has been sent since the last confirmation was
@@ -178,12 +182,18 @@
     return confirmedMs;
   }
 
+  /** Returns the end of the log after the last append that succeeded, -1 if unknown. */
+  long confirmedLogEnd() {
+    return confirmedLogEnd;
+  }
+
   /**
    * Discards the confirmation of the fencing token, so that the store is asked for another at once.
    * Appends that were sent before do not confirm it: how long ago that was is unknown.
    */
   void requireReconfirmation() {
     confirmedMs = NEVER_MS;
+    confirmedLogEnd = -1;
     lastSentMs = NEVER_MS;
     confirmableAfterMs = Long.MAX_VALUE;
   }
@@ -212,6 +222,7 @@
       case DONE -> {
         pending = null;
         confirmed(event.sentMs());
+        confirmedLogEnd = Math.max(confirmedLogEnd, event.logEnd());
         current.actions.forEach(action -> action.run(now, out));
       }
       case FENCED -> out.accept(new PlanEffect.Resign("the store refused the fencing token"));
@@ -242,7 +253,7 @@
     if (records.size() <= 1) {
       unstorable.addAll(records);
       pending = null;
-      nextSequence = records.isEmpty() ? nextSequence : current.sequence;
+      nextSequence = current.sequence;
       return;
     }
     int half = records.size() / 2;
@@ -278,7 +289,7 @@
       actions = new ArrayList<>();
       dueActions.forEach(action -> action.run(now, out));
       if (now.steadyMs() - lastSentMs >= CONFIRM_INTERVAL_MS) {
-        send(new PendingAppend(nextSequence, List.of(), List.of(), now.steadyMs()), now, out);
+        send(new PendingAppend(nextSequence++, List.of(), List.of(), now.steadyMs()), now, out);
       }
       return;
     }
--- a/core/src/test/java/dev/toucanstall/core/plan/PlanSimulation.java
+++ b/core/src/test/java/dev/toucanstall/core/plan/PlanSimulation.java
@@ -187,6 +187,21 @@
    */
   double lateOrderRate;
 
+  /**
+   * Whether late orders and renewals for an earlier incarnation reach a later one, too; starts and
+   * stops that are on their way always do.
+   */
+  boolean ordersReachLaterIncarnations = true;
+
+  /**
+   * Chooses orders to backend servers that the network holds back: the planner gets no answer, and
+   * {@link #deliverHeldBack} has them carried out later.
+   */
+  Predicate<PlanEffect> holdsBack = order -> false;
+
+  /** Orders that the network holds back, oldest first. */
+  final List<PlanEffect> heldBack = new ArrayList<>();
+
   /** Length of a run if {@code taskLengths} is not replaced, in milliseconds. */
   long taskMs = 300;
 
@@ -207,6 +222,9 @@
 
   long lastSequence = -1;
 
+  /** Number of records in the log. */
+  long logEnd = 1;
+
   /** Newest planner, null if there was none. */
   @Nullable Planner planner;
 
@@ -297,17 +315,19 @@
    * Starts a planner with the next epoch. The store fences the last one, which may still be active.
    */
   Planner electPlanner() {
+    return electPlanner(Plan.predecessorLeasesEndMs(nowMs, Long.MAX_VALUE));
+  }
+
+  /**
+   * Starts a planner with the next epoch that knows when the leases of earlier planners have
+   * expired, in milliseconds of the monotonic clock.
+   */
+  Planner electPlanner(long predecessorLeasesEndMs) {
     fence(lowestEpoch + 1);
     Planner next =
         new Planner(
             new Plan(
-                lowestEpoch,
-                1,
-                catalog(),
-                records(),
-                now(),
-                storeLimits,
-                Plan.predecessorLeasesEndMs(nowMs, false)));
+                lowestEpoch, 1, catalog(), records(), now(), storeLimits, predecessorLeasesEndMs));
     planner = next;
     next.handle(serversRead(true));
     return next;
@@ -597,13 +617,17 @@
   /** Carries out an append and reports the result, or a timeout if the answer is lost. */
   private void append(Consumer<PlanEvent> replyTo, PlanEffect.Append append, long sentMs) {
     StoreResult result = storeAvailable ? store(append) : StoreResult.NOT_DONE;
+    final long endAfterAppend = logEnd;
     boolean answerLost = result == StoreResult.DONE && random.nextDouble() < answerLossRate;
     after(
         answerLost ? 1_000 : networkDelayMs() + storeDelayMs,
         () ->
             replyTo.accept(
                 new PlanEvent.Appended(
-                    append.sequence(), sentMs, answerLost ? StoreResult.MAYBE : result)));
+                    append.sequence(),
+                    sentMs,
+                    answerLost ? StoreResult.MAYBE : result,
+                    answerLost || result != StoreResult.DONE ? -1 : endAfterAppend)));
   }
 
   /**
@@ -614,7 +638,7 @@
     if (append.epoch() < lowestEpoch) {
       return StoreResult.FENCED;
     }
-    if (append.records().isEmpty() || append.sequence() == lastSequence) {
+    if (append.sequence() == lastSequence) {
       return StoreResult.DONE;
     }
     if (append.records().stream().mapToInt(RecordSize::maxBytes).sum() > storeLimits.callBytes()
@@ -623,6 +647,7 @@
       return StoreResult.TOO_LARGE;
     }
     lastSequence = append.sequence();
+    logEnd += Math.max(1, append.records().size());
     append.records().forEach(this::store);
     return StoreResult.DONE;
   }
@@ -658,6 +683,13 @@
    * Sends an order to a backend server. A late one arrives after the planner has given up the call.
    */
   private void sendOrder(Consumer<PlanEvent> replyTo, PlanEffect effect) {
+    long heldBackMs = nowMs;
+    if (holdsBack.test(effect)) {
+      heldBack.add(effect);
+      after(
+          700, () -> replyTo.accept(resultEvent(effect, new OrderResult.Unanswered(), heldBackMs)));
+      return;
+    }
     boolean isLate = random.nextDouble() < lateOrderRate;
     long delayMs = isLate ? 2_000 + random.nextInt(6_000) : networkDelayMs();
     boolean answerLost = isLate || random.nextDouble() < answerLossRate;
@@ -670,6 +702,25 @@
     }
   }
 
+  /**
+   * Delivers the orders that the network has held back, to whichever incarnation now has the id.
+   * Their answers are lost.
+   */
+  void deliverHeldBack() {
+    releaseHeldBack(true);
+  }
+
+  /** Delivers the orders that the network has held back as ones that were on their way. */
+  void deliverOnItsWay() {
+    releaseHeldBack(false);
+  }
+
+  private void releaseHeldBack(boolean late) {
+    List<PlanEffect> orders = List.copyOf(heldBack);
+    heldBack.clear();
+    orders.forEach(order -> deliverOrder(event -> {}, order, late, true, nowMs));
+  }
+
   /**
    * Delivers an order to a backend server.
    *
@@ -747,16 +798,21 @@
   }
 
   /**
-   * Returns whether an order doesn't reach the present incarnation of a backend server. Starts and
-   * stops that are under way reach a later incarnation under the same id. Orders that are carried
-   * out seconds late and lease renewals don't: the later incarnation knows of no earlier run, so it
-   * would repeat a finished run or drop completions that no planner has seen, and no planner could
-   * prevent that.
+   * Returns whether an order doesn't reach the present incarnation of a backend server.
+   *
+   * <p>Orders name the id only, so those for an earlier incarnation reach a later one under the
+   * same id, however late. A planner is held to all of this but for one case: an order that is
+   * carried out seconds late, before the later incarnation has answered a renewal that was meant
+   * for it. That incarnation has seen no fencing token by which it could refuse the order, so the
+   * order is dropped here.
    */
-  private static boolean missesIncarnation(
-      SimulatedServer server, PlanEffect effect, boolean isLate) {
-    return server.startTimeMs > startTimeOf(effect)
-        && (isLate || effect instanceof PlanEffect.Hold);
+  private boolean missesIncarnation(SimulatedServer server, PlanEffect effect, boolean isLate) {
+    if (server.startTimeMs <= startTimeOf(effect)) {
+      return false;
+    }
+    return ordersReachLaterIncarnations
+        ? isLate && !server.answeredOwnRenewal
+        : isLate || effect instanceof PlanEffect.Hold;
   }
 
   private static long startTimeOf(PlanEffect effect) {
