Tests: read the number of an append from its effect

LedgerTest took it that each append has the number 1; confirmations have numbers of their own since the end of the log tells how often a planner was confirmed. The check is unchanged.

--- a/core/src/test/java/dev/toucanstall/core/plan/LedgerTest.java
+++ b/core/src/test/java/dev/toucanstall/core/plan/LedgerTest.java
@@ -23,8 +23,10 @@
     ledger.flush(at(nowMs), effects::add);
   }
 
+  /** Reports the result of the newest append. */
   private void appended(long sentMs, long nowMs, StoreResult result) {
-    ledger.appendEnded(new PlanEvent.Appended(1, sentMs, result), at(nowMs), effects::add);
+    long sequence = ((PlanEffect.Append) effects.getLast()).sequence();
+    ledger.appendEnded(new PlanEvent.Appended(sequence, sentMs, result), at(nowMs), effects::add);
   }
 
   /**
