Count a new planner's confirmation from the fencing of the last one

Cause: a planner took the moment at which it handled the result of its election for the store's confirmation. A process that stood still between its claim and that moment gave leases, moves and maintenance by a permission that counted anew, while a successor counted from its own fencing. Change: the confirmation counts from the moment at which the last planner had been fenced, which lies before the claim (Plan.Succession). Found by reading; no test brings the order of events about yet (the election of the model takes no pause between claim and result).

--- a/core/src/main/java/dev/toucanstall/core/node/Terms.java
+++ b/core/src/main/java/dev/toucanstall/core/node/Terms.java
@@ -220,7 +220,7 @@
               elected.records(),
               now,
               node.storeLimits,
-              predecessorLeasesEndMs(node, elected, now));
+              succession(node, elected, now));
     } catch (RuntimeException e) {
       recordsUnreadable(node, "records can't be applied: " + describe(e), now);
       return;
@@ -248,10 +248,10 @@
   }
 
   /**
-   * Returns the time at which the leases of earlier planners have expired, in milliseconds of the
-   * monotonic clock.
+   * Returns what is known of the change from the last planner to this instance. The store has
+   * confirmed the new epoch when it fenced the last planner.
    */
-  private static long predecessorLeasesEndMs(Node node, NodeEvent.Elected elected, Now now) {
+  private static Plan.Succession succession(Node node, NodeEvent.Elected elected, Now now) {
     PredecessorContact contact = node.predecessorContact;
     boolean known = elected.predecessor() >= 0;
     long fencedMs = known ? elected.fencedMs() : now.steadyMs();
@@ -269,7 +269,7 @@
         Long.toString(now.steadyMs() - Math.min(confirmedMs, fencedMs)),
         "end-in-ms",
         Long.toString(endMs - now.steadyMs()));
-    return endMs;
+    return new Plan.Succession(fencedMs, endMs);
   }
 
   /**
--- a/core/src/main/java/dev/toucanstall/core/plan/Ledger.java
+++ b/core/src/main/java/dev/toucanstall/core/plan/Ledger.java
@@ -129,15 +129,16 @@
    *
    * @param epoch epoch of the planner's term
    * @param firstSequence number of the first append
-   * @param nowMs start of the term, in milliseconds of the monotonic clock
+   * @param confirmedMs time at which the store has confirmed the epoch, at the latest the start of
+   *     the term, in milliseconds of the monotonic clock
    * @param maxAppendBytes most bytes of the records of one append
    */
-  Ledger(long epoch, long firstSequence, long nowMs, int maxAppendBytes) {
+  Ledger(long epoch, long firstSequence, long confirmedMs, int maxAppendBytes) {
     this.epoch = epoch;
     this.maxAppendBytes = maxAppendBytes;
     this.nextSequence = firstSequence;
-    this.confirmedMs = nowMs;
-    this.lastSentMs = nowMs;
+    this.confirmedMs = confirmedMs;
+    this.lastSentMs = confirmedMs;
   }
 
   /** Adds the submission of a job to the next append. */
@@ -182,9 +183,12 @@
     return confirmedMs;
   }
 
-  /** Returns the end of the log after the last append that succeeded, -1 if unknown. */
+  /**
+   * Returns the end of the log after the last append that succeeded, -1 if it or the time of the
+   * confirmation is unknown.
+   */
   long confirmedLogEnd() {
-    return confirmedLogEnd;
+    return confirmedMs == NEVER_MS ? -1 : confirmedLogEnd;
   }
 
   /**
--- a/core/src/main/java/dev/toucanstall/core/plan/Plan.java
+++ b/core/src/main/java/dev/toucanstall/core/plan/Plan.java
@@ -107,6 +107,15 @@
   /** Listener to the parts of each decision. */
   PassProbe probe = PassProbe.NONE;
 
+  /**
+   * The change from the last planner to this one. Times are in milliseconds of the monotonic clock.
+   *
+   * @param confirmedMs time at which the store has confirmed this planner's epoch, or earlier; the
+   *     process may have stood still between that and the start of its term
+   * @param leasesEndMs time at which all leases of earlier planners have expired
+   */
+  public record Succession(long confirmedMs, long leasesEndMs) {}
+
   /**
    * Creates the state of a new term over a store with the usual limits.
    *
@@ -124,7 +133,7 @@
         records,
         now,
         StoreLimits.DEFAULT,
-        predecessorLeasesEndMs(now.steadyMs(), Long.MAX_VALUE));
+        new Succession(now.steadyMs(), predecessorLeasesEndMs(now.steadyMs(), Long.MAX_VALUE)));
   }
 
   /**
@@ -136,8 +145,7 @@
    * @param records the newest record of each key, submissions before progress
    * @param now start of the term
    * @param storeLimits limits of the store
-   * @param predecessorLeasesEndMs time at which all leases of earlier planners have expired, in
-   *     milliseconds of the monotonic clock
+   * @param succession what is known of the change from the last planner
    */
   public Plan(
       long epoch,
@@ -146,12 +154,13 @@
       List<JobRecord> records,
       Now now,
       StoreLimits storeLimits,
-      long predecessorLeasesEndMs) {
+      Succession succession) {
     this.epoch = epoch;
     this.catalog = catalog;
     this.storeLimits = storeLimits;
-    this.predecessorLeasesEndMs = predecessorLeasesEndMs;
-    this.ledger = new Ledger(epoch, firstSequence, now.steadyMs(), storeLimits.callBytes());
+    this.predecessorLeasesEndMs = succession.leasesEndMs();
+    this.ledger =
+        new Ledger(epoch, firstSequence, succession.confirmedMs(), storeLimits.callBytes());
     this.termStartMs = now.steadyMs();
     Recovery.restore(this, records, now);
     JobRules.catalogChanged(this, catalog);
@@ -208,7 +217,7 @@
    * @return offset after the last record, -1 if it or the time of the confirmation is unknown
    */
   public long confirmedLogEnd() {
-    return ledger.confirmedMs() >= termStartMs ? ledger.confirmedLogEnd() : -1;
+    return ledger.confirmedLogEnd();
   }
 
   /**
--- a/core/src/test/java/dev/toucanstall/core/plan/MaintenanceSimulation.java
+++ b/core/src/test/java/dev/toucanstall/core/plan/MaintenanceSimulation.java
@@ -147,7 +147,9 @@
                 sim.records(),
                 sim.now(),
                 sim.storeLimits,
-                Plan.predecessorLeasesEndMs(sim.now().steadyMs(), false)));
+                new Plan.Succession(
+                    sim.now().steadyMs(),
+                    Plan.predecessorLeasesEndMs(sim.now().steadyMs(), Long.MAX_VALUE))));
     planner = next;
     next.handle(sim.serversRead(true));
     Optional.ofNullable(wave).ifPresent(w -> next.handle(new PlanEvent.WaveOrdered(w)));
--- a/core/src/test/java/dev/toucanstall/core/plan/PlanSimulation.java
+++ b/core/src/test/java/dev/toucanstall/core/plan/PlanSimulation.java
@@ -339,7 +339,13 @@
     Planner next =
         new Planner(
             new Plan(
-                lowestEpoch, 1, catalog(), records(), now(), storeLimits, predecessorLeasesEndMs));
+                lowestEpoch,
+                1,
+                catalog(),
+                records(),
+                now(),
+                storeLimits,
+                new Plan.Succession(nowMs, predecessorLeasesEndMs)));
     planner = next;
     next.handle(serversRead(true));
     return next;
