Take no run for absent from a list that can't be read whole

Cause: rows of a list of runs that can't be read were left out, and a missing list of finished runs counted as an empty one. A run that is there, or that ended as done, then looked absent, and its task started again. Such a list is no list now, or not a complete one (LeaseRenewalResult.Listed): its rows count, what it lacks doesn't. Found by reading.

--- a/core/src/main/java/dev/toucanstall/core/plan/LeaseRenewalResult.java
+++ b/core/src/main/java/dev/toucanstall/core/plan/LeaseRenewalResult.java
@@ -15,13 +15,26 @@
    * @param serverClockMs monotonic clock of the backend server, in milliseconds
    * @param running the runs that are present
    * @param finished the finished runs that the planner has not acknowledged, oldest first
+   * @param complete whether each row of both lists could be read; else a run that they lack may
+   *     exist
    */
   record Listed(
       long serverStartTimeMs,
       long serverClockMs,
       List<ActiveRun> running,
-      List<FinishedRun> finished)
-      implements LeaseRenewalResult {}
+      List<FinishedRun> finished,
+      boolean complete)
+      implements LeaseRenewalResult {
+
+    /** Creates a result with complete lists. */
+    public Listed(
+        long serverStartTimeMs,
+        long serverClockMs,
+        List<ActiveRun> running,
+        List<FinishedRun> finished) {
+      this(serverStartTimeMs, serverClockMs, running, finished, true);
+    }
+  }
 
   /**
    * Renewal that failed or whose answer was lost.
--- a/core/src/main/java/dev/toucanstall/core/plan/LeaseRenewalRules.java
+++ b/core/src/main/java/dev/toucanstall/core/plan/LeaseRenewalRules.java
@@ -109,7 +109,7 @@
       applyActiveRun(plan, server, active, now);
     }
     sendDueStops(plan, server, now);
-    if (listed.finished().size() < TRUNCATION_LENGTH) {
+    if (listed.complete() && listed.finished().size() < TRUNCATION_LENGTH) {
       releaseAbsent(plan, server, listedTasks, held.sentMs(), now);
     }
     acknowledgeOnceStored(plan, server);
