Let orders without an answer not hold back those to other backend servers

The bound on orders under way for all backend servers was reached by 128 orders to silent ones, and all others waited up to 0.7 s for their time-outs. An order that is under way for 0.3 s waits at its backend server, not here, and no longer counts towards that bound. OrderWindowTest ordersWithoutAnAnswerDoNotHoldBackOthersForLong asks for it.

--- a/core/src/main/java/dev/toucanstall/core/plan/LeaseRenewalRules.java
+++ b/core/src/main/java/dev/toucanstall/core/plan/LeaseRenewalRules.java
@@ -136,7 +136,7 @@
     Optional<Task> found = find(plan, active.task());
     if (found.isEmpty() || found.get().server != server || found.get().run != active.run()) {
       plan.logEvent("run-unknown", "server", server.entry.id(), "task", active.task().toString());
-      OrderRules.stopUnknown(plan, server, active.task(), active.run());
+      OrderRules.stopUnknown(plan, server, active.task(), active.run(), now);
       return;
     }
     Task task = found.get();
--- a/core/src/main/java/dev/toucanstall/core/plan/OrderRules.java
+++ b/core/src/main/java/dev/toucanstall/core/plan/OrderRules.java
@@ -67,7 +67,7 @@
   }
 
   private static void sendStart(Plan plan, Server server, Task task, Now now) {
-    plan.orders.sent(server, new OrderWindow.SentOrder(task.key, task.run, false));
+    plan.orders.sent(server, new OrderWindow.SentOrder(task.key, task.run, false), now);
     task.startsSent++;
     task.orderedMs = now.steadyMs();
     plan.emit(
@@ -136,7 +136,7 @@
           boolean needed =
               task.phase == TaskPhase.STOPPING && task.run == run && task.server == server;
           if (needed) {
-            emitStop(plan, server, task.key, run);
+            emitStop(plan, server, task.key, run, later);
           }
           return needed;
         },
@@ -147,15 +147,15 @@
    * Stops a run that the planner does not know. Does nothing while the same stop or as many orders
    * as may be are under way: the next list shows the run again.
    */
-  static void stopUnknown(Plan plan, Server server, TaskKey key, long run) {
+  static void stopUnknown(Plan plan, Server server, TaskKey key, long run, Now now) {
     if (plan.orders.hasRoom(server)
         && !plan.orders.isUnderWay(new OrderWindow.SentOrder(key, run, true))) {
-      emitStop(plan, server, key, run);
+      emitStop(plan, server, key, run, now);
     }
   }
 
-  private static void emitStop(Plan plan, Server server, TaskKey key, long run) {
-    plan.orders.sent(server, new OrderWindow.SentOrder(key, run, true));
+  private static void emitStop(Plan plan, Server server, TaskKey key, long run, Now now) {
+    plan.orders.sent(server, new OrderWindow.SentOrder(key, run, true), now);
     plan.emit(new PlanEffect.Stop(server.entry, server.fencingToken(plan.epoch), key, run));
   }
 
--- a/core/src/main/java/dev/toucanstall/core/plan/OrderWindow.java
+++ b/core/src/main/java/dev/toucanstall/core/plan/OrderWindow.java
@@ -1,6 +1,8 @@
 package dev.toucanstall.core.plan;
 
 import dev.toucanstall.core.job.TaskKey;
+import java.util.ArrayDeque;
+import java.util.Deque;
 import java.util.HashMap;
 import java.util.LinkedHashSet;
 import java.util.Map;
@@ -14,9 +16,15 @@
  */
 final class OrderWindow {
 
-  /** Most orders under way at all backend servers. */
+  /** Most orders under way at all backend servers, without slow ones. */
   static final int MAX_UNDER_WAY = 128;
 
+  /**
+   * Time under way after which an order is slow, in milliseconds. It waits at its backend server
+   * then, rather than here, and must not hold back orders to others.
+   */
+  private static final long SLOW_ORDER_MS = 300;
+
   /** Most orders under way at one backend server. */
   static final int MAX_UNDER_WAY_PER_SERVER = 32;
 
@@ -48,7 +56,28 @@
    */
   record SentOrder(TaskKey task, long run, boolean stop) {}
 
-  private final Map<SentOrder, Server> underWay = new HashMap<>();
+  /** State of an order that is under way. */
+  private static final class UnderWay {
+
+    private final Server server;
+    private final long sentMs;
+
+    /** Whether the order counts towards the bound for all backend servers. */
+    private boolean counts = true;
+
+    private UnderWay(Server server, long sentMs) {
+      this.server = server;
+      this.sentMs = sentMs;
+    }
+  }
+
+  private final Map<SentOrder, UnderWay> underWay = new HashMap<>();
+
+  /** Orders that may count towards the bound for all backend servers, oldest first. */
+  private final Deque<UnderWay> recent = new ArrayDeque<>();
+
+  /** Number of orders that count towards the bound for all backend servers. */
+  private int countedOrders;
 
   /** Backend servers with waiting orders that may have another order under way. */
   private final Set<Server> sendable = new LinkedHashSet<>();
@@ -89,7 +118,7 @@
 
   /** Returns whether another order to a backend server may be under way. */
   boolean hasRoom(Server server) {
-    return underWay.size() < MAX_UNDER_WAY && server.ordersUnderWay < MAX_UNDER_WAY_PER_SERVER;
+    return countedOrders < MAX_UNDER_WAY && server.ordersUnderWay < MAX_UNDER_WAY_PER_SERVER;
   }
 
   /** Returns whether an order was sent and has no result yet. */
@@ -105,19 +134,41 @@
   }
 
   /** Counts an order as under way. */
-  void sent(Server server, SentOrder order) {
-    if (underWay.put(order, server) == null) {
+  void sent(Server server, SentOrder order, Now now) {
+    if (!underWay.containsKey(order)) {
+      UnderWay sent = new UnderWay(server, now.steadyMs());
+      underWay.put(order, sent);
+      recent.add(sent);
+      countedOrders++;
       server.ordersUnderWay++;
     }
   }
 
+  private void uncount(UnderWay order) {
+    if (order.counts) {
+      order.counts = false;
+      countedOrders--;
+    }
+  }
+
+  /** Stops counting orders that have become slow, and sends orders that have waited for them. */
+  void advance(Now now) {
+    UnderWay oldest = recent.peek();
+    while (oldest != null && (!oldest.counts || now.steadyMs() - oldest.sentMs >= SLOW_ORDER_MS)) {
+      uncount(recent.remove());
+      oldest = recent.peek();
+    }
+    sendWaiting(now);
+  }
+
   /** Handles the end of an order, whatever its result: sends orders that have waited for it. */
   void ended(SentOrder order, Now now) {
-    Server server = underWay.remove(order);
-    if (server != null) {
-      server.ordersUnderWay--;
-      markSendable(server);
-      sendWaiting(now);
+    UnderWay ended = underWay.remove(order);
+    if (ended != null) {
+      uncount(ended);
+      ended.server.ordersUnderWay--;
+      markSendable(ended.server);
+      advance(now);
     }
   }
 
@@ -129,7 +180,7 @@
 
   /** Sends waiting orders, the backend servers taking turns, until the bounds are reached. */
   private void sendWaiting(Now now) {
-    while (underWay.size() < MAX_UNDER_WAY && !sendable.isEmpty()) {
+    while (countedOrders < MAX_UNDER_WAY && !sendable.isEmpty()) {
       Server server = sendable.iterator().next();
       sendable.remove(server);
       server.waitingOrders.remove().send(now);
--- a/core/src/main/java/dev/toucanstall/core/plan/PlanReducer.java
+++ b/core/src/main/java/dev/toucanstall/core/plan/PlanReducer.java
@@ -92,6 +92,7 @@
 
   /** Makes a pass over the queues, backend servers and machines that may need a decision. */
   private static void pass(Plan plan, Now now) {
+    plan.orders.advance(now);
     Maintenance.advance(plan, now);
     plan.probe.done(PassProbe.Part.MAINTENANCE);
     Evacuation.advance(plan, now);
