--- a/testbed/src/main/java/dev/toucanstall/testbed/soak/FaultPlan.java
+++ b/testbed/src/main/java/dev/toucanstall/testbed/soak/FaultPlan.java
@@ -100,6 +100,20 @@
     if (random.nextInt(10) < 1) {
       steps.add(new Step(at + between(random, 0, 3_000), new LoseServer(random.nextBoolean())));
     }
+    if (random.nextInt(10) < 2) {
+      addLateOrders(steps, at, random);
+    }
+  }
+
+  /** Adds orders that are carried out late, some at servers that have started again meanwhile. */
+  private static void addLateOrders(List<Step> steps, long at, Random random) {
+    long heldAt = at + between(random, -1_000, 1_000);
+    long window = between(random, 300, 1_500);
+    steps.add(new Step(heldAt, new HoldOrders(0.6, window, between(random, 1_000, 8_000))));
+    steps.add(
+        new Step(
+            heldAt + between(random, 100, window),
+            new CrashServers(3, true, random.nextBoolean(), between(random, 100, 1_500))));
   }
 
   /**
--- a/testbed/src/main/java/dev/toucanstall/testbed/soak/FaultRules.java
+++ b/testbed/src/main/java/dev/toucanstall/testbed/soak/FaultRules.java
@@ -23,6 +23,9 @@
   /** Target of a link to the store. */
   static final int STORE = 0;
 
+  /** Time for which an entry instance that is back is no target. */
+  private static final long RETURN_MS = 500;
+
   /** Time of an end that never comes by itself. */
   private static final long NEVER = Long.MAX_VALUE / 2;
 
@@ -82,7 +85,7 @@
       effects.add(BackendRules.note(at, "no planner is there to be hit"));
       return;
     }
-    state.awayUntil[entry] = at + awayMs;
+    state.awayUntil[entry] = at + awayMs + RETURN_MS;
     effects.add(BackendRules.note(at, "entry-%d: %s for %d ms", entry, first, awayMs));
     effects.add(new SignalEntry(entry, first, 0));
     effects.add(new SignalEntry(entry, second, awayMs));
--- a/testbed/src/main/java/dev/toucanstall/testbed/soak/SoakMain.java
+++ b/testbed/src/main/java/dev/toucanstall/testbed/soak/SoakMain.java
@@ -49,6 +49,9 @@
   @Parameter(names = "--folder", description = "Folder in which the folder of each soak is made")
   private String parent = System.getProperty("java.io.tmpdir");
 
+  @Parameter(names = "--keep", description = "Keep the folder also if all rules held")
+  private boolean keeps;
+
   private SoakMain() {}
 
   /**
@@ -72,9 +75,11 @@
           Files.createTempDirectory(Files.createDirectories(Path.of(parent)), "soak-" + seed + "-");
       List<String> breaks = play(seed, folder);
       breaks.forEach(System.out::println);
+      System.out.println(Files.readAllLines(folder.resolve("record.txt")).getLast());
+      boolean isKept = keeps || !breaks.isEmpty();
       System.out.printf(
-          "seed %d: %d breaks%s%n", seed, breaks.size(), breaks.isEmpty() ? "" : ", see " + folder);
-      if (breaks.isEmpty()) {
+          "seed %d: %d breaks%s%n", seed, breaks.size(), isKept ? ", see " + folder : "");
+      if (!isKept) {
         delete(folder);
       }
       return breaks.isEmpty() ? 0 : BROKEN;
--- a/testbed/src/main/java/dev/toucanstall/testbed/soak/SoakState.java
+++ b/testbed/src/main/java/dev/toucanstall/testbed/soak/SoakState.java
@@ -23,7 +23,7 @@
   /** Number of cuts that hold for each link, by entry instance and target. */
   final Map<List<Integer>, List<LinkMode>> cuts = new HashMap<>();
 
-  /** Time until which an entry instance is killed or frozen, so that it is no target again. */
+  /** Time until which an entry instance is away or has just come back, and no target. */
   final long[] awayUntil;
 
   /** Entry instance that gave the last order under the highest fencing token; -1 for none. */
