Refuse moves of machines in the soak, and end its processes with it

Entry processes end with the soak if that is stopped, and connections of the proxies come from addresses at which nothing listens, as one of ten soaks beside two others found its port in use.

--- a/testbed/src/main/java/dev/toucanstall/testbed/soak/EntryProcess.java
+++ b/testbed/src/main/java/dev/toucanstall/testbed/soak/EntryProcess.java
@@ -11,7 +11,10 @@
 import java.util.concurrent.TimeUnit;
 import org.jspecify.annotations.Nullable;
 
-/** One entry instance as a process, with its settings, hosts file and log. Not thread-safe. */
+/**
+ * One entry instance as a process, with its settings, hosts file and log. It ends with this JVM.
+ * One thread at a time may use it.
+ */
 final class EntryProcess implements AutoCloseable {
 
   private static final String MAIN = "dev.toucanstall.entry.node.NodeMain";
@@ -49,7 +52,7 @@
   private final ProcessBuilder builder;
   private final int clientPort;
   private final int readinessPort;
-  private @Nullable Process process;
+  private volatile @Nullable Process process;
 
   /**
    * Writes the files of an entry instance; {@link #start} starts it.
@@ -95,6 +98,7 @@
     builder.environment().put("TOUCANSTALL_SETTINGS", file.toString());
     builder.redirectOutput(
         ProcessBuilder.Redirect.appendTo(folder.resolve(name + ".log").toFile()));
+    Runtime.getRuntime().addShutdownHook(new Thread(this::close));
   }
 
   /** Returns the first of some ports in a row that are free on 127.0.0.1. */
@@ -129,7 +133,8 @@
 
   /** Starts the process; returns false if it runs. */
   boolean start() throws IOException {
-    if (process != null && process.isAlive()) {
+    Process before = process;
+    if (before != null && before.isAlive()) {
       return false;
     }
     process = builder.start();
@@ -138,18 +143,20 @@
 
   /** Kills the process, also one that is frozen; returns false if it did not run. */
   boolean kill() throws InterruptedException {
-    if (process == null || !process.isAlive()) {
+    Process running = process;
+    if (running == null || !running.isAlive()) {
       return false;
     }
-    process.destroyForcibly().waitFor();
+    running.destroyForcibly().waitFor();
     return true;
   }
 
   /** Sends a signal, such as STOP or CONT; returns false if the process does not run. */
   boolean signal(String signal) throws IOException, InterruptedException {
-    return process != null
-        && process.isAlive()
-        && new ProcessBuilder("kill", "-" + signal, Long.toString(process.pid()))
+    Process running = process;
+    return running != null
+        && running.isAlive()
+        && new ProcessBuilder("kill", "-" + signal, Long.toString(running.pid()))
             .inheritIO()
             .start()
             .waitFor(SIGNAL_SECONDS, TimeUnit.SECONDS);
@@ -157,8 +164,9 @@
 
   @Override
   public void close() {
-    if (process != null) {
-      process.destroyForcibly();
+    Process running = process;
+    if (running != null) {
+      running.destroyForcibly();
     }
   }
 }
--- a/testbed/src/main/java/dev/toucanstall/testbed/soak/FaultProxy.java
+++ b/testbed/src/main/java/dev/toucanstall/testbed/soak/FaultProxy.java
@@ -61,7 +61,7 @@
   FaultProxy(int entry, int target, int port, int standInPort, long seed) throws IOException {
     address = new InetSocketAddress(InetAddress.getByName(host(entry, target)), port);
     standIn = new InetSocketAddress(InetAddress.getByName("127.0.0.1"), standInPort);
-    source = InetAddress.getByName(host(entry, 0));
+    source = InetAddress.getByName("127.%d.1.1".formatted(FIRST_NETWORK + entry));
     random = new Random(seed);
     listen();
   }
@@ -71,7 +71,7 @@
     return "127.%d.0.%d".formatted(FIRST_NETWORK + entry, target + 1);
   }
 
-  /** Returns the entry instance that an address of {@link #host} names. */
+  /** Returns the entry instance that the address of a proxy or of its connections names. */
   static int entryOf(InetAddress address) {
     return Byte.toUnsignedInt(address.getAddress()[1]) - FIRST_NETWORK;
   }
--- a/testbed/src/main/java/dev/toucanstall/testbed/soak/RunChecks.java
+++ b/testbed/src/main/java/dev/toucanstall/testbed/soak/RunChecks.java
@@ -146,16 +146,6 @@
       }
     }
     long starts = state.jobs.values().stream().mapToLong(progress -> progress.starts).sum();
-    long lapsed =
-        state.runsByTask.values().stream()
-            .flatMap(List::stream)
-            .filter(run -> run.how.equals("lapsed"))
-            .count();
-    long crashed =
-        state.runsByTask.values().stream()
-            .flatMap(List::stream)
-            .filter(run -> run.how.equals("crashed"))
-            .count();
     effects.add(
         BackendRules.note(
             at,
@@ -163,8 +153,15 @@
             state.jobs.size(),
             open.accepted(),
             starts,
-            lapsed,
-            crashed));
+            runsThatEnded(state, "lapsed"),
+            runsThatEnded(state, "crashed")));
+  }
+
+  private static long runsThatEnded(SoakState state, String how) {
+    return state.runsByTask.values().stream()
+        .flatMap(List::stream)
+        .filter(run -> run.how.equals(how))
+        .count();
   }
 
   private static void fail(long at, List<SoakEffect> effects, String format, Object... values) {
--- a/testbed/src/main/java/dev/toucanstall/testbed/soak/SoakReducer.java
+++ b/testbed/src/main/java/dev/toucanstall/testbed/soak/SoakReducer.java
@@ -32,10 +32,7 @@
       case SoakEvent.JobSent sent -> state.jobs.put(sent.job().id(), new JobProgress(sent.job()));
       case SoakEvent.JobAnswered answered -> answered(state, answered);
       case SoakEvent.StateAnswered answered -> RunChecks.stateAnswered(state, answered, effects);
-      case SoakEvent.FaultsEnd end -> {
-        state.faultsEnded = true;
-        FaultRules.end(state, end.at(), effects);
-      }
+      case SoakEvent.FaultsEnd end -> FaultRules.end(state, end.at(), effects);
       case SoakEvent.ShowOpen show ->
           effects.add(new SoakEffect.Report(show.handle(), RunChecks.open(state)));
       case SoakEvent.FinalChecks checks -> {
--- a/testbed/src/main/java/dev/toucanstall/testbed/soak/SoakRun.java
+++ b/testbed/src/main/java/dev/toucanstall/testbed/soak/SoakRun.java
@@ -31,7 +31,7 @@
   private static final Logger LOG = LogManager.getLogger(SoakRun.class);
   private static final Duration TICK_INTERVAL = Duration.ofMillis(5);
   private static final Duration QUERY_TIMEOUT = Duration.ofSeconds(10);
-  private static final long READY_MILLIS = 40_000;
+  private static final long READY_MILLIS = 90_000;
   private static final long WARM_UP_MILLIS = 2_500;
   private static final long POLL_MILLIS = 300;
   private static final int MIN_ACCEPTED = 10;
--- a/testbed/src/main/java/dev/toucanstall/testbed/soak/SoakState.java
+++ b/testbed/src/main/java/dev/toucanstall/testbed/soak/SoakState.java
@@ -31,7 +31,6 @@
 
   long plannerFence = -1;
   int lastServerId = 0x7f3a91c0;
-  boolean faultsEnded;
 
   /** Whether an order that was held up may reach a later incarnation under the same id. */
   final boolean lateOrdersReachNextIncarnation;
--- a/testbed/src/main/java/dev/toucanstall/testbed/soak/StoreRules.java
+++ b/testbed/src/main/java/dev/toucanstall/testbed/soak/StoreRules.java
@@ -22,7 +22,10 @@
 import java.util.Set;
 import org.jspecify.annotations.Nullable;
 
-/** The platform's store and list of machines: what calls do and how they are answered. */
+/**
+ * The platform's store and list of machines: what calls do and how they are answered. Machines stay
+ * in their pools.
+ */
 final class StoreRules {
 
   static final ObjectMapper JSON = new ObjectMapper();
@@ -63,6 +66,8 @@
       case "/-/log-join" -> join(state, call, effects);
       case "/-/log-leave" -> leave(state, call, effects);
       case "/-/machines" -> machines(state, call, effects);
+      case "/-/machine-move", "/-/machine-upkeep" ->
+          effects.add(reply(call.handle(), BAD_REQUEST, JSON.createObjectNode()));
       default -> effects.add(reply(call.handle(), NOT_FOUND, JSON.createObjectNode()));
     }
   }
