--- a/core/src/test/java/dev/toucanstall/core/node/NodeTest.java
+++ b/core/src/test/java/dev/toucanstall/core/node/NodeTest.java
@@ -392,6 +392,19 @@
             "epoch", "1", "records", "0", "cores", "0.36", "memory-mb", "330", "link-mbps", "7.0");
   }
 
+  /**
+   * Guards against a planner that stood still between its claim and the start of its term, and acts
+   * as if the store had confirmed it just now.
+   */
+  @Test
+  void electionThatIsHandledLateGivesNoPermission() {
+    readCatalog(catalog(1, "key"));
+    handle(new NodeEvent.Joined(true));
+    handle(new NodeEvent.Elected(1, 7, List.of(), 0, nowMs - 4_000, 5));
+    handle(new NodeEvent.PeerPinged(4, 1));
+    assertThat(effects).contains(new NodeEffect.AnswerPing(4, false, false, -1, 4_000));
+  }
+
   @Test
   void unconfirmedPlannerReportsInactive() {
     readCatalog(catalog(1, "key"));
