Acknowledge ends though a start has no answer, and keep bounds of leases that came too low

Now only a start counts that was sent after the newest list was requested, and for 2 s at most. lostAnswerToStartOfListedRunWithholdsNoAcknowledgement holds it. - A backend server that is listed (again) counted as without leases, though orders of before may have given some. It counts as one with the longest lease until its first answer. - The answer to a renewal of before cleared the suspicion of a restart.

--- a/core/src/main/java/dev/toucanstall/core/node/Followers.java
+++ b/core/src/main/java/dev/toucanstall/core/node/Followers.java
@@ -21,6 +21,9 @@
    */
   static final long RETENTION_MS = 15_000;
 
+  /** Time in which each follower that reaches a new planner has pinged it, in milliseconds. */
+  static final long FIRST_PINGS_MS = 3_000;
+
   /** Time for which a follower must have been fit to plan before it is chosen, in milliseconds. */
   private static final long MIN_STABLE_MS = 1_000;
 
@@ -110,9 +113,8 @@
    */
   boolean noneFit(long nowMs) {
     lastPings.values().removeIf(ping -> nowMs - ping.atMs > RETENTION_MS);
-    boolean allHadTimeToPing = nowMs - clearedMs > RETENTION_MS;
-    return (allHadTimeToPing || !lastPings.isEmpty())
-        && lastPings.values().stream().allMatch(ping -> ping.showsUnfit(nowMs));
+    boolean allHadTimeToPing = nowMs - clearedMs > FIRST_PINGS_MS;
+    return allHadTimeToPing && lastPings.values().stream().allMatch(ping -> ping.showsUnfit(nowMs));
   }
 
   /**
--- a/core/src/main/java/dev/toucanstall/core/node/FreshnessRules.java
+++ b/core/src/main/java/dev/toucanstall/core/node/FreshnessRules.java
@@ -33,12 +33,10 @@
    * the planner's epoch again. Answers to what the store was asked before confirm neither, because
    * their age is unknown.
    *
-   * <p>Needless with a monotonic clock that counts suspensions.
+   * <p>Also checked with a monotonic clock that counts suspensions: a virtual machine that its host
+   * has paused may not count that time.
    */
   static void detectSuspension(Node node, Now now) {
-    if (node.clockCountsSuspensions) {
-      return;
-    }
     Now reference = node.clockReference;
     if (reference == null) {
       node.clockReference = now;
@@ -50,6 +48,7 @@
       node.logEvent("clock-gained", "ms", Long.toString(gainMs));
       node.catalogRequestedMs = NEVER_MS;
       node.suspensionNoticedMs = now.steadyMs();
+      node.predecessorContact.timeLost(now);
       Plan plan = node.plan;
       if (plan != null) {
         plan.requireReconfirmation();
--- a/core/src/main/java/dev/toucanstall/core/node/Node.java
+++ b/core/src/main/java/dev/toucanstall/core/node/Node.java
@@ -121,9 +121,6 @@
    */
   @Nullable Now clockReference;
 
-  /** Whether the monotonic clock counts the time for which the machine was suspended. */
-  final boolean clockCountsSuspensions;
-
   private List<NodeEffect> effects = new ArrayList<>();
 
   /**
@@ -145,33 +142,17 @@
     this(name, size, StoreLimits.DEFAULT);
   }
 
-  /**
-   * Creates the initial state of an entry instance whose monotonic clock may stand still while the
-   * machine is suspended.
-   *
-   * @param name the instance's name
-   * @param size resources of the machine that the instance may use
-   * @param storeLimits limits of the store
-   */
-  public Node(String name, InstanceSize size, StoreLimits storeLimits) {
-    this(name, size, storeLimits, false);
-  }
-
   /**
    * Creates the initial state of an entry instance.
    *
    * @param name the instance's name
    * @param size resources of the machine that the instance may use
    * @param storeLimits limits of the store
-   * @param clockCountsSuspensions whether the monotonic clock counts the time for which the machine
-   *     was suspended
    */
-  public Node(
-      String name, InstanceSize size, StoreLimits storeLimits, boolean clockCountsSuspensions) {
+  public Node(String name, InstanceSize size, StoreLimits storeLimits) {
     this.name = name;
     this.size = size;
     this.storeLimits = storeLimits;
-    this.clockCountsSuspensions = clockCountsSuspensions;
   }
 
   /**
--- a/core/src/main/java/dev/toucanstall/core/node/PredecessorContact.java
+++ b/core/src/main/java/dev/toucanstall/core/node/PredecessorContact.java
@@ -66,6 +66,13 @@
         now.steadyMs() + MAX_PING_DELAY_MS + PlanReducer.longestDurationMs(PlanReducer.LEASE_MS);
   }
 
+  /** Records that an unknown time has passed which the monotonic clock may not have counted. */
+  void timeLost(Now now) {
+    countedBy = 0;
+    reportedBy = 0;
+    uncounted(now);
+  }
+
   /** Records that planners which did not count this instance may have been active until now. */
   private void uncounted(Now now) {
     uncountedLeasesEndMs =
--- a/core/src/main/java/dev/toucanstall/core/plan/LeaseRenewalRules.java
+++ b/core/src/main/java/dev/toucanstall/core/plan/LeaseRenewalRules.java
@@ -79,8 +79,15 @@
     }
   }
 
+  /**
+   * Applies the lists of a backend server. Those of an incarnation that may have ended since they
+   * were requested are ignored.
+   */
   private static void applyLists(
       Plan plan, Server server, PlanEvent.Held held, LeaseRenewalResult.Listed listed, Now now) {
+    if (server.restartSuspectedSinceMs >= held.sentMs()) {
+      return;
+    }
     if (server.unresponsiveSinceMs > 0) {
       ServerRules.logServerEvent(plan, "server-answers", server, "after it was unresponsive");
     }
@@ -144,9 +151,9 @@
     if (!active.checkpoint().isEmpty()) {
       task.setCheckpoint(active.checkpoint());
     }
+    task.startUnanswered = false;
     if (task.phase == TaskPhase.ORDERED) {
       task.setPhase(TaskPhase.RUNNING);
-      task.startUnanswered = false;
       task.absenceConclusiveAfterMs = now.steadyMs();
     }
   }
--- a/core/src/main/java/dev/toucanstall/core/plan/OrderRules.java
+++ b/core/src/main/java/dev/toucanstall/core/plan/OrderRules.java
@@ -298,13 +298,17 @@
   }
 
   /**
-   * Handles a start without an answer: sends it again, or stops the run after too many sends.
+   * Handles a start without an answer: sends it again, or stops the run after too many sends. A run
+   * that a list has shown meanwhile needs neither.
    *
    * <p>The start of a lasting task may have succeeded. It is sent again without limit while the
    * step may not miss another task, until a list that was requested after the last send lacks the
    * run.
    */
   private static void startUnanswered(Plan plan, Task task, Now now) {
+    if (task.phase == TaskPhase.RUNNING) {
+      return;
+    }
     task.startUnanswered = true;
     if (task.phase != TaskPhase.ORDERED) {
       return;
--- a/core/src/main/java/dev/toucanstall/core/plan/OrderWindow.java
+++ b/core/src/main/java/dev/toucanstall/core/plan/OrderWindow.java
@@ -32,7 +32,7 @@
   static final int MAX_UNSENT_STARTS = 512;
 
   /** Most starts that are requested and not sent, for one backend server. */
-  static final int MAX_UNSENT_STARTS_PER_SERVER = 128;
+  static final int MAX_UNSENT_STARTS_PER_SERVER = 32;
 
   /** Order that may have to wait. */
   @FunctionalInterface
--- a/core/src/main/java/dev/toucanstall/core/plan/Server.java
+++ b/core/src/main/java/dev/toucanstall/core/plan/Server.java
@@ -89,6 +89,12 @@
   /** Number of the newest finished run that is stored. */
   long storedCompletion;
 
+  /**
+   * Time since which a due acknowledgement is withheld, in milliseconds of the monotonic clock, 0
+   * if none is.
+   */
+  long acknowledgementWithheldSinceMs;
+
   /** Number of the newest finished run that was acknowledged to the backend server. */
   long acknowledgedCompletion;
 
@@ -322,18 +328,17 @@
 
   /**
    * Returns whether a start to this backend server may have been carried out by a later incarnation
-   * as far as the planner knows: it was sent some time ago, and no answer or list shows by whom.
+   * as far as the planner knows: it was sent some time ago, but after the newest list was
+   * requested, and no answer shows by whom it was carried out.
    *
    * @param sentBeforeMs time before which the start was sent, in milliseconds of the monotonic
    *     clock
    */
   boolean hasUnconfirmedStart(long sentBeforeMs) {
     return tasks.stream()
-        .anyMatch(
-            t ->
-                t.startsSent > 0
-                    && t.orderedMs < sentBeforeMs
-                    && (t.phase == TaskPhase.ORDERED || t.startUnanswered));
+        .filter(t -> t.startsSent > 0)
+        .filter(t -> t.phase == TaskPhase.ORDERED || t.startUnanswered)
+        .anyMatch(t -> t.orderedMs >= listRequestedMs && t.orderedMs < sentBeforeMs);
   }
 
   /**
--- a/core/src/main/java/dev/toucanstall/core/plan/ServerRules.java
+++ b/core/src/main/java/dev/toucanstall/core/plan/ServerRules.java
@@ -29,6 +29,11 @@
    */
   private static final long START_ANSWER_MS = 100;
 
+  /**
+   * Longest time for which a start without an answer withholds acknowledgements, in milliseconds.
+   */
+  private static final long MAX_WITHHOLDING_MS = 2_000;
+
   /** Pause before the next renewal of a backend server that did not answer, in milliseconds. */
   private static final long UNRESPONSIVE_PAUSE_MS = 400;
 
@@ -65,6 +70,8 @@
     }
     if (existing == null) {
       Server added = new Server(entry, now.steadyMs());
+      added.leasesExpiredMs =
+          now.steadyMs() + PlanReducer.longestDurationMs(PlanReducer.MAX_LEASE_MS);
       added.moving = plan.moves.mayEnd(entry.id());
       plan.servers.put(added);
       added.updateEntry(entry);
@@ -132,6 +139,20 @@
     server.markForRenewal();
   }
 
+  /**
+   * Returns whether no run can have been started by a later incarnation, or the acknowledgement has
+   * been withheld for long: starts that take long to be answered must not withhold it for ever.
+   */
+  private static boolean mayAcknowledge(Server server, Now now) {
+    if (server.restartSuspectedSinceMs > 0) {
+      return false;
+    }
+    boolean withheldForLong =
+        server.acknowledgementWithheldSinceMs > 0
+            && now.steadyMs() - server.acknowledgementWithheldSinceMs > MAX_WITHHOLDING_MS;
+    return withheldForLong || !server.hasUnconfirmedStart(now.steadyMs() - START_ANSWER_MS);
+  }
+
   /**
    * Returns the finished run up to which a renewal acknowledges, 0 for none.
    *
@@ -139,14 +160,18 @@
    * read. So nothing is acknowledged twice, or while a run may have been started by one.
    */
   private static long acknowledgement(Server server, Now now) {
-    boolean due = server.storedCompletion > server.acknowledgedCompletion;
-    boolean maySafely =
-        server.restartSuspectedSinceMs == 0
-            && !server.hasUnconfirmedStart(now.steadyMs() - START_ANSWER_MS);
-    if (due && !maySafely) {
-      server.nextRenewalMs = now.steadyMs() + START_ANSWER_MS;
+    if (server.storedCompletion <= server.acknowledgedCompletion) {
+      server.acknowledgementWithheldSinceMs = 0;
+      return 0;
+    }
+    if (mayAcknowledge(server, now)) {
+      return server.storedCompletion;
+    }
+    if (server.acknowledgementWithheldSinceMs == 0) {
+      server.acknowledgementWithheldSinceMs = now.steadyMs();
     }
-    return due && maySafely ? server.storedCompletion : 0;
+    server.nextRenewalMs = now.steadyMs() + START_ANSWER_MS;
+    return 0;
   }
 
   /**
--- a/core/src/test/java/dev/toucanstall/core/plan/LaterIncarnationTest.java
+++ b/core/src/test/java/dev/toucanstall/core/plan/LaterIncarnationTest.java
@@ -235,4 +235,22 @@
     sim.run(4_000);
     assertThat(sim.violations).isEmpty();
   }
+
+  /**
+   * Guards against ends that are never acknowledged: a list shows a lasting run before the answer
+   * to its start is given up.
+   */
+  @Test
+  void lostAnswerToStartOfListedRunWithholdsNoAcknowledgement() {
+    PlanSimulation sim = simulationWithPlanner();
+    final SimulatedServer server = sim.requireServer("w1");
+    server.dropsStartAnswers = true;
+    sim.submit("l", PlanSimulation.lastingStep(1, 1_000, 0));
+    sim.run(1_500);
+    server.dropsStartAnswers = false;
+    sim.submit("j", PlanSimulation.step(3, 1_000));
+    sim.run(1_500);
+    assertThat(sim.completed).hasSize(3);
+    assertThat(server.unacknowledgedRuns).isEmpty();
+  }
 }
--- a/entry/src/main/java/dev/toucanstall/entry/node/NodeProcess.java
+++ b/entry/src/main/java/dev/toucanstall/entry/node/NodeProcess.java
@@ -120,11 +120,7 @@
     loop =
         new ControlLoop<>(
             "control",
-            new Node(
-                settings.instanceName(),
-                settings.size(),
-                settings.storeLimits(),
-                clock.countsSuspensions()),
+            new Node(settings.instanceName(), settings.size(), settings.storeLimits()),
             (node, event) -> new Decision<>(node, NodeReducer.reduce(node, event, clock.now())),
             effect -> {
               long startNanos = System.nanoTime();
