--- a/core/src/test/java/dev/toucanstall/core/plan/PlanSimulation.java
+++ b/core/src/test/java/dev/toucanstall/core/plan/PlanSimulation.java
@@ -28,9 +28,11 @@
 import java.util.Random;
 import java.util.Set;
 import java.util.function.Consumer;
+import java.util.function.LongUnaryOperator;
 import java.util.function.Predicate;
 import java.util.function.Supplier;
 import java.util.function.ToLongFunction;
+import java.util.function.UnaryOperator;
 import java.util.stream.Stream;
 import org.jspecify.annotations.Nullable;
 
@@ -49,6 +51,11 @@
   /** Pool of machines that are switched off. */
   static final String SPARE = "spare";
 
+  /**
+   * Time from a decision to the arrival of its order from which the order is late, in milliseconds.
+   */
+  static final long LATE_MS = 250;
+
   private static final long TICK_MS = 20;
   private static final long SERVER_LIST_INTERVAL_MS = 500;
 
@@ -60,6 +67,12 @@
     /** Whether the planner handles events; an inactive one drops them. */
     boolean active = true;
 
+    /**
+     * Time from each decision to its effects, as of a process that is held up between the two, in
+     * milliseconds.
+     */
+    long effectDelayMs;
+
     private boolean busy;
     private final List<PlanEvent> waitingEvents = new ArrayList<>();
 
@@ -75,7 +88,13 @@
       if (busy) {
         waitingEvents.add(event);
       } else if (active) {
-        PlanReducer.reduce(plan, event, now()).forEach(this::carryOut);
+        List<PlanEffect> decided = PlanReducer.reduce(plan, event, now());
+        if (effectDelayMs > 0) {
+          final long decidedMs = nowMs;
+          after(effectDelayMs, () -> decided.forEach(effect -> carryOut(effect, decidedMs)));
+        } else {
+          decided.forEach(effect -> carryOut(effect, nowMs));
+        }
       }
     }
 
@@ -92,11 +111,11 @@
           });
     }
 
-    private void carryOut(PlanEffect effect) {
+    private void carryOut(PlanEffect effect, long decidedMs) {
       if (effect instanceof PlanEffect.Resign) {
         active = false;
       }
-      PlanSimulation.this.carryOut(this::handle, effect);
+      PlanSimulation.this.carryOut(this::handle, effect, decidedMs);
     }
   }
 
@@ -193,6 +212,20 @@
    */
   boolean ordersReachLaterIncarnations = true;
 
+  /**
+   * Longest time that an order is on its way before its backend server may start again, in
+   * milliseconds; such an order isn't late, so it reaches a later incarnation at any time.
+   */
+  long maxOrderDelayMs;
+
+  /**
+   * Changes an order before it is sent; tests that break a guard of the planner on purpose use it.
+   */
+  UnaryOperator<PlanEffect> orderChange = UnaryOperator.identity();
+
+  /** Changes the time at which a new planner takes the leases of earlier ones for expired. */
+  LongUnaryOperator leaseBoundChange = LongUnaryOperator.identity();
+
   /**
    * Chooses orders to backend servers that the network holds back: the planner gets no answer, and
    * {@link #deliverHeldBack} has them carried out later.
@@ -327,7 +360,8 @@
    * Starts a planner with the next epoch. The store fences the last one, which may still be active.
    */
   Planner electPlanner() {
-    return electPlanner(Plan.predecessorLeasesEndMs(nowMs, Long.MAX_VALUE));
+    return electPlanner(
+        leaseBoundChange.applyAsLong(Plan.predecessorLeasesEndMs(nowMs, Long.MAX_VALUE)));
   }
 
   /**
@@ -460,14 +494,18 @@
 
   /** Carries out an effect of a planner and reports the results to it. */
   void carryOut(Consumer<PlanEvent> replyTo, PlanEffect effect) {
+    carryOut(replyTo, effect, nowMs);
+  }
+
+  private void carryOut(Consumer<PlanEvent> replyTo, PlanEffect effect, long decidedMs) {
     effects.add(effect);
     switch (effect) {
       case PlanEffect.Answer answer -> answers.put(answer.ticket(), answer.answer());
       case PlanEffect.Append append ->
           after(networkDelayMs(), () -> append(replyTo, append, nowMs));
-      case PlanEffect.Start start -> sendOrder(replyTo, start);
-      case PlanEffect.Stop stop -> sendOrder(replyTo, stop);
-      case PlanEffect.Hold renewal -> sendOrder(replyTo, renewal);
+      case PlanEffect.Start start -> sendOrder(replyTo, start, decidedMs);
+      case PlanEffect.Stop stop -> sendOrder(replyTo, stop, decidedMs);
+      case PlanEffect.Hold renewal -> sendOrder(replyTo, renewal, decidedMs);
       case PlanEffect.ListMachines list -> {
         long requestedMs = nowMs;
         after(networkDelayMs(), () -> sendMachineList(replyTo, requestedMs));
@@ -703,7 +741,8 @@
   /**
    * Sends an order to a backend server. A late one arrives after the planner has given up the call.
    */
-  private void sendOrder(Consumer<PlanEvent> replyTo, PlanEffect effect) {
+  private void sendOrder(Consumer<PlanEvent> replyTo, PlanEffect decided, long decidedMs) {
+    PlanEffect effect = orderChange.apply(decided);
     long heldBackMs = nowMs;
     if (holdsBack.test(effect)) {
       heldBack.add(effect);
@@ -713,9 +752,16 @@
     }
     boolean isLate = random.nextDouble() < lateOrderRate;
     long delayMs = isLate ? 2_000 + random.nextInt(6_000) : networkDelayMs();
+    if (!isLate && maxOrderDelayMs > 0) {
+      delayMs += random.nextLong(maxOrderDelayMs);
+    }
     boolean answerLost = isLate || random.nextDouble() < answerLossRate;
     long sentMs = nowMs;
-    after(delayMs, () -> deliverOrder(replyTo, effect, isLate, answerLost, sentMs));
+    after(
+        delayMs,
+        () ->
+            deliverOrder(
+                replyTo, effect, isLate || nowMs - decidedMs > LATE_MS, answerLost, sentMs));
     if (isLate) {
       after(
           700,
@@ -747,7 +793,7 @@
    *
    * @param replyTo receiver of the result
    * @param effect the order
-   * @param isLate whether the planner has given up the call
+   * @param isLate whether the order arrives later than {@link #LATE_MS} after its decision
    * @param answerLost whether the answer is lost
    * @param sentMs time of sending, in milliseconds of the monotonic clock
    */
