Tests: the network divides in the random runs of several entry instances

NodeRandomTest puts an entry instance, at times the planner, and some backend servers on a side without the store for up to 12.5 s. Entries expire after 0.9 s or 4.5 s by the seed, and one task in sixteen jobs lasts longer than a lease (6 s).

--- a/core/src/test/java/dev/toucanstall/core/plan/NodeRandomTest.java
+++ b/core/src/test/java/dev/toucanstall/core/plan/NodeRandomTest.java
@@ -32,6 +32,11 @@
   private static final int INSTANCES = 5;
   private static final int SERVER_COUNT = 8;
 
+  private static final long SHORT_TASK_MS = 300;
+
+  /** Length of one task in sixteen jobs, longer than a lease, in milliseconds. */
+  private static final long LONG_TASK_MS = 6_000;
+
   /** Steps in which a fault may be injected. */
   private static final int STEP_COUNT = 80;
 
@@ -63,6 +68,9 @@
 
   private static void runSeed(NodeSimulation sim, long seed) {
     prepare(sim, seed);
+    sim.platform.reportIntervalMs = seed % 3 == 0 ? 300 : 1_500;
+    sim.platform.taskLengths =
+        task -> task.index() == 0 && task.job().endsWith("5") ? LONG_TASK_MS : SHORT_TASK_MS;
     for (int i = 0; i < STEP_COUNT; i++) {
       injectFault(sim);
       submit(sim);
@@ -136,6 +144,13 @@
         }
       }
       case 9 -> sim.platform.answerLossRate = 0.1;
+      case 12 -> divide(sim, instance, 500 + sim.random.nextInt(12_000));
+      case 13 -> {
+        SimulatedInstance planner = sim.planner();
+        if (planner != null) {
+          divide(sim, planner, 500 + sim.random.nextInt(12_000));
+        }
+      }
       case 10, 11 -> {
         sim.replyLossRate = 0;
         sim.platform.answerLossRate = 0;
@@ -144,6 +159,23 @@
     }
   }
 
+  /**
+   * Puts an entry instance and some backend servers on a side without the store for a time, in
+   * milliseconds.
+   */
+  private static void divide(NodeSimulation sim, SimulatedInstance instance, long durationMs) {
+    List<SimulatedServer> cutOff =
+        sim.platform.servers.values().stream().filter(s -> sim.random.nextInt(3) == 0).toList();
+    instance.side = 1;
+    cutOff.forEach(s -> s.side = 1);
+    sim.after(
+        durationMs,
+        () -> {
+          instance.side = 0;
+          cutOff.forEach(s -> s.side = 0);
+        });
+  }
+
   private static SimulatedServer randomServer(NodeSimulation sim) {
     List<SimulatedServer> all = List.copyOf(sim.platform.servers.values());
     return all.get(sim.random.nextInt(all.size()));
