Let a wave go on after a machine is removed while it is emptied

What operators would see: a wave that never completes under its planner.

Cause: a machine that is being emptied counts as away. One that left the platform's list before its order was no longer advanced, but stayed among those being emptied, and so held a place of the wave's limit for good.

Change: a machine that no longer exists and has no order is no longer being emptied. One that a list lacks for a moment is chosen again later; nothing was ordered for it.

--- a/core/src/main/java/dev/toucanstall/core/plan/Maintenance.java
+++ b/core/src/main/java/dev/toucanstall/core/plan/Maintenance.java
@@ -242,6 +242,9 @@
       wave.startReported = true;
       plan.emit(new PlanEffect.TellWave(wave.order.number(), false, plan.epoch));
     }
+    List.copyOf(wave.emptying.keySet()).stream()
+        .filter(m -> !wave.downSinceMs.containsKey(m) && !mayExist(plan, wave, m))
+        .forEach(m -> cancelEmptying(plan, wave, m));
     List<String> remaining = remainingMachines(plan, wave);
     if (remaining.isEmpty()) {
       complete(plan, wave);
--- a/core/src/test/java/dev/toucanstall/core/plan/MaintenanceSimulation.java
+++ b/core/src/test/java/dev/toucanstall/core/plan/MaintenanceSimulation.java
@@ -159,6 +159,11 @@
     post(new PlanEvent.Called(++lastCallId, call));
   }
 
+  void cancel(String job) {
+    JobCall call = new JobCall.Cancel(job, PlanSimulation.QUEUE);
+    post(new PlanEvent.Called(++lastCallId, call));
+  }
+
   /** Submits a job of short tasks each 200 ms for a time, in milliseconds. */
   void runUnderLoad(long durationMs) {
     for (long elapsedMs = 0; elapsedMs < durationMs; elapsedMs += 200) {
--- a/core/src/test/java/dev/toucanstall/core/plan/MaintenanceTest.java
+++ b/core/src/test/java/dev/toucanstall/core/plan/MaintenanceTest.java
@@ -189,6 +189,24 @@
     assertThat(sim.storedOrders()).isEmpty();
   }
 
+  /** Guards against a wave that waits for a machine that was removed while it was emptied. */
+  @Test
+  void waveContinuesAfterMachineIsRemovedWhileEmptied() {
+    MaintenanceSimulation sim = sixServers(1);
+    // A task on each backend server, none of which fits on another one.
+    sim.submit("j", PlanSimulation.lastingStep(6, 6_000, 1));
+    sim.sim.run(1_500);
+    sim.orderWave(MACHINES);
+    sim.sim.run(1_000);
+    assertThat(sim.orders).isEmpty();
+    sim.removeMachine("m-w1");
+    sim.cancel("j");
+    sim.sim.run(40_000);
+    assertThat(sim.violations).isEmpty();
+    assertThat(sim.begun).containsExactly("m-w2", "m-w3");
+    assertThat(sim.sim.reportedWaves).containsExactly(MaintenanceSimulation.WAVE, true);
+  }
+
   /** Guards against a machine that is never used again because its wave is unknown. */
   @Test
   void machineOfUnknownWaveIsUsedOnceNoOrderCanArrive() {
