Send orders that have waited after the result that they waited for is handled

The result may show that the backend server lacks room, is suspended or refuses connections; a start whose turn came before was sent to it all the same. Found by reading. The result now frees its place first, is handled, and then the next orders are sent.

The tests of core pass but LedgerTest.anotherAppendIsSentAtOnceAndConfirms, which fails alike without this change.

--- a/core/src/main/java/dev/toucanstall/core/plan/OrderRules.java
+++ b/core/src/main/java/dev/toucanstall/core/plan/OrderRules.java
@@ -164,9 +164,17 @@
         : job.find(key).filter(task -> task.server == server && task.run == run);
   }
 
-  /** Handles the result of a start. */
+  /**
+   * Handles the result of a start. Orders that have waited for it are sent after that, as it may
+   * show that the backend server takes no more.
+   */
   static void started(Plan plan, PlanEvent.Started started, Now now) {
-    plan.orders.ended(new OrderWindow.SentOrder(started.task(), started.run(), false), now);
+    plan.orders.ended(new OrderWindow.SentOrder(started.task(), started.run(), false));
+    applyStarted(plan, started, now);
+    plan.orders.sendWaiting(now);
+  }
+
+  private static void applyStarted(Plan plan, PlanEvent.Started started, Now now) {
     Server server = plan.servers.get(started.server());
     if (server == null) {
       return;
@@ -301,9 +309,17 @@
     sendOnceStored(plan, task, () -> stopOnceStored(plan, task));
   }
 
-  /** Handles the result of a stop. */
+  /**
+   * Handles the result of a stop. Orders that have waited for it are sent after that, as it may
+   * show that the backend server takes no more.
+   */
   static void stopped(Plan plan, PlanEvent.Stopped stopped, Now now) {
-    plan.orders.ended(new OrderWindow.SentOrder(stopped.task(), stopped.run(), true), now);
+    plan.orders.ended(new OrderWindow.SentOrder(stopped.task(), stopped.run(), true));
+    applyStopped(plan, stopped, now);
+    plan.orders.sendWaiting(now);
+  }
+
+  private static void applyStopped(Plan plan, PlanEvent.Stopped stopped, Now now) {
     Server server = plan.servers.get(stopped.server());
     if (server == null) {
       return;
--- a/core/src/main/java/dev/toucanstall/core/plan/OrderWindow.java
+++ b/core/src/main/java/dev/toucanstall/core/plan/OrderWindow.java
@@ -111,13 +111,12 @@
     }
   }
 
-  /** Handles the end of an order, whatever its result: sends orders that have waited for it. */
-  void ended(SentOrder order, Now now) {
+  /** Counts an order as ended, whatever its result. */
+  void ended(SentOrder order) {
     Server server = underWay.remove(order);
     if (server != null) {
       server.ordersUnderWay--;
       markSendable(server);
-      sendWaiting(now);
     }
   }
 
@@ -128,7 +127,7 @@
   }
 
   /** Sends waiting orders, the backend servers taking turns, until the bounds are reached. */
-  private void sendWaiting(Now now) {
+  void sendWaiting(Now now) {
     while (underWay.size() < MAX_UNDER_WAY && !sendable.isEmpty()) {
       Server server = sendable.iterator().next();
       sendable.remove(server);
