--- a/core/src/main/java/dev/toucanstall/core/plan/OrderWindow.java
+++ b/core/src/main/java/dev/toucanstall/core/plan/OrderWindow.java
@@ -161,14 +161,13 @@
     sendWaiting(now);
   }
 
-  /** Handles the end of an order, whatever its result: sends orders that have waited for it. */
-  void ended(SentOrder order, Now now) {
+  /** Counts an order as ended, whatever its result. */
+  void ended(SentOrder order) {
     UnderWay ended = underWay.remove(order);
     if (ended != null) {
       uncount(ended);
       ended.server.ordersUnderWay--;
       markSendable(ended.server);
-      advance(now);
     }
   }
 
--- a/core/src/test/java/dev/toucanstall/core/plan/OrderWindowTest.java
+++ b/core/src/test/java/dev/toucanstall/core/plan/OrderWindowTest.java
@@ -57,7 +57,8 @@
     int number = fill();
     submit(server(99), number, START_MS + 1);
     assertThat(sentOrders).isEqualTo(number);
-    window.ended(order(0), at(START_MS + 2));
+    window.ended(order(0));
+    window.advance(at(START_MS + 2));
     assertThat(sentOrders).isEqualTo(number + 1);
   }
 
@@ -73,7 +74,8 @@
     assertThat(sentOrders).isEqualTo(number);
     window.advance(at(START_MS + 300));
     assertThat(sentOrders).isEqualTo(number + 1);
-    window.ended(order(0), at(START_MS + 700));
+    window.ended(order(0));
+    window.advance(at(START_MS + 700));
     submit(server(98), number + 1, START_MS + 701);
     assertThat(sentOrders).isEqualTo(number + 2);
   }
