--- a/core/src/test/java/dev/toucanstall/core/node/PredecessorContactTest.java
+++ b/core/src/test/java/dev/toucanstall/core/node/PredecessorContactTest.java
@@ -97,6 +97,7 @@
   /** Guards against pings that were held up on their way and tell of a past outage. */
   @Test
   void pingsAfterPauseOfTheLinkDoNotProlongLeases() {
+    followers.clear(1_000 - Followers.FIRST_PINGS_MS - 1);
     followers.recordPing(1, 0, 1_000);
     followers.recordPing(1, 0, 4_000);
     followers.recordPing(1, 0, 4_010);
@@ -110,6 +111,7 @@
   /** Guards against prolonged leases while a follower that was lost may be elected. */
   @Test
   void lostFollowerKeepsThePlannerFromProlongingLeases() {
+    followers.clear(1_000 - Followers.FIRST_PINGS_MS - 1);
     followers.recordPing(1, 1.5, 1_000);
     followers.recordPing(2, 0, 1_000);
     assertThat(followers.noneFit(1_100)).isFalse();
