--- a/review/6/run.sh
+++ b/review/6/run.sh
@@ -1,9 +1,9 @@
 #!/usr/bin/env bash
-# MIXED: jobs whose worker crashed before it began them are not counted as queued.
+# TWICE: a worker that is cut off starts again there and carries out an order to start late.
 cd "$(dirname "$0")/../.." || exit 2
-if [ ! -f target/review-2/Queued.class ] || [ ! -x target/image/bin/java ]; then
+if [ ! -f target/review-2/Reborn.class ] || [ ! -x target/image/bin/java ]; then
   echo "run deploy/build and review/build-2.sh first" >&2
   exit 2
 fi
 exec ./jdk java -Xmx256m -Djdk.httpclient.allowRestrictedHeaders=host -Dcase=review/6 \
-  -cp 'target/review-2:target/entry/lib/*' Queued
+  -cp 'target/review-2:target/entry/lib/*' Reborn
