Tests: the next planner doesn't await a lease on a former clock (TWICE)

A start that was meant for the former incarnation is carried out by the later one, the job's progress is stored again under the later one's start time, and the next planner takes the lease for an ordinary one.

--- /dev/null
+++ b/core/src/test/java/dev/toucanstall/core/plan/SuccessionAfterRestartTest.java
@@ -0,0 +1,94 @@
+package dev.toucanstall.core.plan;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import org.junit.jupiter.api.Tag;
+import org.junit.jupiter.api.Test;
+
+/**
+ * Tests a change of planners right after a backend server has started again under its id and has
+ * carried out orders that were meant for its former incarnation. The backend server is then cut
+ * off.
+ */
+final class SuccessionAfterRestartTest {
+
+  /** Time that a backend server is up before its later incarnation starts, in milliseconds. */
+  private static final long UPTIME_MS = 20_000;
+
+  /** Time from the start on the later incarnation to the loss of the planner, in milliseconds. */
+  private static final long PLANNER_LOST_AFTER_MS = 600;
+
+  /** Time from the loss of the planner until the backend server is cut off, in milliseconds. */
+  private static final long CUT_OFF_AFTER_MS = 300;
+
+  /** Time from the cut until the next planner is elected, in milliseconds. */
+  private static final long ELECTED_AFTER_MS = 600;
+
+  /** Time in which all leases of any planner expire, in milliseconds. */
+  private static final long ALL_LEASES_MS = 13_000;
+
+  private static final long SHORT_TASK_MS = 300;
+
+  private static final long LONG_TASK_MS = 60_000;
+
+  private final PlanSimulation sim = new PlanSimulation(1);
+
+  /**
+   * Has a later incarnation of "w1" carry out the start of a job's last step that was meant for the
+   * earlier one. The first step's run ends with the earlier one, so that the job's progress is
+   * stored again once the planner knows the later one.
+   */
+  private SimulatedServer startOnLaterIncarnation() {
+    sim.taskLengths = task -> task.step() == 1 ? SHORT_TASK_MS : LONG_TASK_MS;
+    sim.addServer("w1", 10_000);
+    sim.electPlanner();
+    sim.run(UPTIME_MS);
+    sim.submit(
+        "j",
+        PlanSimulation.step(1, 1_000),
+        PlanSimulation.step(1, 1_000),
+        PlanSimulation.step(1, 1_000, 1));
+    while (sim.effects.stream().noneMatch(SuccessionAfterRestartTest::startsLastStep)) {
+      sim.run(1);
+    }
+    sim.requireServer("w1").crash();
+    SimulatedServer later = sim.restartServer(sim.requireServer("w1"));
+    while (later.running.isEmpty()) {
+      sim.run(1);
+    }
+    return later;
+  }
+
+  private static boolean startsLastStep(PlanEffect effect) {
+    return effect instanceof PlanEffect.Start start && start.task().step() == 2;
+  }
+
+  /** Replaces the planner, which is lost some time before the next one is elected. */
+  private void losePlanner() {
+    PlanSimulation.Planner lost = sim.planner;
+    if (lost != null) {
+      lost.active = false;
+    }
+  }
+
+  /**
+   * Guards against two runs of a task at once: the lease of a start on the clock of a former
+   * incarnation lasts longer than the next planner waits for the leases of its predecessor.
+   */
+  @Test
+  @Tag("known-red")
+  void nextPlannerAwaitsLeaseOnFormerClock() {
+    final SimulatedServer later = startOnLaterIncarnation();
+    sim.run(PLANNER_LOST_AFTER_MS);
+    final long confirmedMs = sim.now().steadyMs();
+    losePlanner();
+    sim.run(CUT_OFF_AFTER_MS);
+    later.reachable = false;
+    final SimulatedServer other = sim.addServer("w2", 10_000);
+    sim.run(ELECTED_AFTER_MS);
+    sim.electPlanner(Plan.predecessorLeasesEndMs(confirmedMs, 0));
+    sim.run(ALL_LEASES_MS);
+    assertThat(sim.violations).isEmpty();
+    assertThat(other.running).hasSize(2);
+  }
+}
