Give the bound of a backend server's leases one owner that names its source

No change of decisions. `leases-out` says what sets the bound; `server-reborn` and `server-restart-suspected` say how many starts may have reached the later incarnation.

--- /dev/null
+++ b/core/src/main/java/dev/toucanstall/core/lease/LeaseBound.java
@@ -0,0 +1,172 @@
+package dev.toucanstall.core.lease;
+
+/**
+ * Time by which all leases that a backend server may hold have expired, and what sets it. Owned by
+ * the control thread; times are in milliseconds of the planner's monotonic clock.
+ *
+ * <p>A lease is given as a time on the clock of the incarnation that the planner knows. An order
+ * for it that is carried out by a later incarnation under the same id gives the longest lease that
+ * a backend server grants, because the clock of that incarnation starts anew.
+ */
+public final class LeaseBound {
+
+  /** Longest lease that a planner gives, in milliseconds of the backend server's clock. */
+  public static final long LEASE_MS = 5_500;
+
+  /**
+   * Longest lease that a backend server grants, in milliseconds of its clock. It shortens a longer
+   * one.
+   */
+  public static final long MAX_LEASE_MS = 10_000;
+
+  /** Longest time that a slow clock loses between two readings of it, in milliseconds. */
+  private static final long CLOCK_DRIFT_MS = 200;
+
+  /** What sets the bound. */
+  public enum Source {
+    /** A lease that this planner gave on the clock of the present incarnation. */
+    OWN_LEASE,
+    /** Leases that earlier planners may have given. */
+    PREDECESSOR,
+    /** Leases that any planner may have given before the backend server was listed. */
+    BEFORE_LISTING,
+    /** Orders for a former incarnation that a later one may have carried out. */
+    FORMER_CLOCK,
+    /** The same, while no entry or list has shown the later incarnation. */
+    RESTART_SUSPECTED
+  }
+
+  private long expiredMs;
+  private Source source;
+  private long suspectedSinceMs;
+
+  /** Whether orders for a former incarnation may have reached this one. */
+  private boolean onFormerClock;
+
+  private LeaseBound(long expiredMs, Source source) {
+    this.expiredMs = expiredMs;
+    this.source = source;
+  }
+
+  /**
+   * Returns the bound of a backend server that is listed for the first time.
+   *
+   * @param nowMs current time
+   * @return the bound
+   */
+  public static LeaseBound ofListed(long nowMs) {
+    return new LeaseBound(nowMs + longestMs(), Source.BEFORE_LISTING);
+  }
+
+  /**
+   * Returns the bound of a backend server that an earlier planner's records name.
+   *
+   * @param leasesEndMs time at which all leases of earlier planners have expired
+   * @return the bound
+   */
+  public static LeaseBound ofPredecessors(long leasesEndMs) {
+    return new LeaseBound(leasesEndMs, Source.PREDECESSOR);
+  }
+
+  private static long longestMs() {
+    return ServerClock.longestDurationMs(MAX_LEASE_MS);
+  }
+
+  private void extend(long untilMs, Source by) {
+    if (untilMs > expiredMs) {
+      expiredMs = untilMs;
+      source = by;
+    }
+  }
+
+  /**
+   * Records a lease that this planner gives.
+   *
+   * @param lengthMs its length, in milliseconds of the backend server's clock
+   * @param nowMs current time
+   */
+  public void given(long lengthMs, long nowMs) {
+    extend(nowMs + ServerClock.longestDurationMs(lengthMs), Source.OWN_LEASE);
+  }
+
+  /**
+   * Records that a later incarnation under the id is known. Until it has seen a fencing token of
+   * its own, orders for a former one may reach it.
+   *
+   * @param nowMs current time
+   */
+  public void restarted(long nowMs) {
+    suspectedSinceMs = 0;
+    onFormerClock = true;
+    extend(nowMs + longestMs(), Source.FORMER_CLOCK);
+  }
+
+  /** Records that orders for a former incarnation under the id may reach the present one. */
+  public void formerIncarnationKnown() {
+    onFormerClock = true;
+  }
+
+  /**
+   * Records that the answer to an order shows a later incarnation that no entry or list has shown
+   * yet.
+   *
+   * @param nowMs current time
+   */
+  public void restartSuspected(long nowMs) {
+    suspectedSinceMs = nowMs;
+  }
+
+  /** Records that a list has shown which incarnation answers. */
+  public void incarnationShown() {
+    suspectedSinceMs = 0;
+  }
+
+  /**
+   * Returns whether an answer shows a later incarnation that no entry or list has shown yet.
+   *
+   * @return true since {@link #restartSuspected} until a list shows the incarnation
+   */
+  public boolean isRestartSuspected() {
+    return suspectedSinceMs > 0;
+  }
+
+  /**
+   * Returns whether a restart was suspected at a time or later.
+   *
+   * @param sinceMs the time
+   * @return true if it was
+   */
+  public boolean isRestartSuspectedSince(long sinceMs) {
+    return suspectedSinceMs >= sinceMs;
+  }
+
+  /**
+   * Records that the present incarnation has seen this planner's fencing token for it, so that no
+   * lease is longer than one that was given just now.
+   *
+   * @param nowMs current time
+   */
+  public void tokenSeen(long nowMs) {
+    long longestMs =
+        ServerClock.longestDurationMs((onFormerClock ? MAX_LEASE_MS : LEASE_MS) + CLOCK_DRIFT_MS);
+    expiredMs = Math.min(expiredMs, nowMs + longestMs);
+  }
+
+  /**
+   * Returns the time at which all leases have surely expired.
+   *
+   * @return the time
+   */
+  public long expiredMs() {
+    return isRestartSuspected() ? Math.max(expiredMs, suspectedSinceMs + longestMs()) : expiredMs;
+  }
+
+  /**
+   * Returns what sets the time at which all leases have surely expired.
+   *
+   * @return the source
+   */
+  public Source source() {
+    return expiredMs() > expiredMs ? Source.RESTART_SUSPECTED : source;
+  }
+}
--- a/core/src/main/java/dev/toucanstall/core/node/PredecessorContact.java
+++ b/core/src/main/java/dev/toucanstall/core/node/PredecessorContact.java
@@ -1,5 +1,7 @@
 package dev.toucanstall.core.node;
 
+import dev.toucanstall.core.lease.LeaseBound;
+import dev.toucanstall.core.lease.ServerClock;
 import dev.toucanstall.core.plan.Now;
 import dev.toucanstall.core.plan.PlanReducer;
 import java.util.OptionalLong;
@@ -63,7 +65,7 @@
       uncounted(now);
     }
     countedLeasesEndMs =
-        now.steadyMs() + MAX_PING_DELAY_MS + PlanReducer.longestDurationMs(PlanReducer.LEASE_MS);
+        now.steadyMs() + MAX_PING_DELAY_MS + ServerClock.longestDurationMs(LeaseBound.LEASE_MS);
   }
 
   /** Records that an unknown time has passed which the monotonic clock may not have counted. */
@@ -76,7 +78,7 @@
   /** Records that planners which did not count this instance may have been active until now. */
   private void uncounted(Now now) {
     uncountedLeasesEndMs =
-        now.steadyMs() + PlanReducer.longestDurationMs(PlanReducer.OUTAGE_LEASE_HORIZON_MS);
+        now.steadyMs() + ServerClock.longestDurationMs(PlanReducer.OUTAGE_LEASE_HORIZON_MS);
   }
 
   /** Records an answer of the planner to a ping. */
--- a/core/src/main/java/dev/toucanstall/core/plan/LeaseRenewalRules.java
+++ b/core/src/main/java/dev/toucanstall/core/plan/LeaseRenewalRules.java
@@ -75,7 +75,7 @@
               plan, server, "lease renewal refused: " + rejected.reason(), now);
       case OrderResult.Unanswered unanswered ->
           ServerRules.markUnresponsive(plan, server, "lease renewal not answered", now);
-      case OrderResult.Obeyed obeyed -> server.readClock(obeyed.serverClockMs(), now.steadyMs());
+      case OrderResult.Obeyed obeyed -> server.clock.read(obeyed.serverClockMs(), now.steadyMs());
     }
   }
 
@@ -85,7 +85,7 @@
    */
   private static void applyLists(
       Plan plan, Server server, PlanEvent.Held held, LeaseRenewalResult.Listed listed, Now now) {
-    if (server.restartSuspectedSinceMs >= held.sentMs()) {
+    if (server.leases.isRestartSuspectedSince(held.sentMs())) {
       return;
     }
     if (server.unresponsiveSinceMs > 0) {
@@ -95,13 +95,13 @@
       plan.markForPlacement(server);
     }
     if (!server.answered) {
-      server.capLeases(now.steadyMs());
+      server.leases.tokenSeen(now.steadyMs());
     }
     server.answered = true;
-    server.restartSuspectedSinceMs = 0;
+    server.leases.incarnationShown();
     server.listRequestedMs = held.sentMs();
     server.unresponsiveSinceMs = 0;
-    server.readClock(listed.serverClockMs(), now.steadyMs());
+    server.clock.read(listed.serverClockMs(), now.steadyMs());
     server.acknowledgedCompletion =
         Math.max(server.acknowledgedCompletion, held.acknowledgedCompletion());
     Set<TaskKey> listedTasks = new HashSet<>();
--- a/core/src/main/java/dev/toucanstall/core/plan/OrderRules.java
+++ b/core/src/main/java/dev/toucanstall/core/plan/OrderRules.java
@@ -217,10 +217,10 @@
         task.filter(t -> t.startsSent == 1)
             .map(t -> t.orderedMs)
             .orElse(now.steadyMs() - MAX_ANSWER_AGE_MS);
-    if (server.showsRestart(obeyed.serverClockMs(), sentMs)) {
+    if (server.clock.showsRestart(obeyed.serverClockMs(), sentMs)) {
       ServerRules.suspectRestart(plan, server, now);
     } else {
-      server.readClock(obeyed.serverClockMs(), now.steadyMs());
+      server.clock.read(obeyed.serverClockMs(), now.steadyMs());
     }
   }
 
--- a/core/src/main/java/dev/toucanstall/core/plan/Plan.java
+++ b/core/src/main/java/dev/toucanstall/core/plan/Plan.java
@@ -6,6 +6,7 @@
 import dev.toucanstall.core.job.Queue;
 import dev.toucanstall.core.job.Resources;
 import dev.toucanstall.core.job.TaskPhase;
+import dev.toucanstall.core.lease.ServerClock;
 import dev.toucanstall.core.model.StoreLimits;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -177,9 +178,9 @@
    * @return the time in milliseconds of the monotonic clock
    */
   public static long predecessorLeasesEndMs(long confirmedMs, long prolongedLeasesEndMs) {
-    long usualEndMs = confirmedMs + PlanReducer.longestDurationMs(PlanReducer.LEASE_HORIZON_MS);
+    long usualEndMs = confirmedMs + ServerClock.longestDurationMs(PlanReducer.LEASE_HORIZON_MS);
     long latestEndMs =
-        confirmedMs + PlanReducer.longestDurationMs(PlanReducer.OUTAGE_LEASE_HORIZON_MS);
+        confirmedMs + ServerClock.longestDurationMs(PlanReducer.OUTAGE_LEASE_HORIZON_MS);
     return Math.min(latestEndMs, Math.max(usualEndMs, prolongedLeasesEndMs));
   }
 
--- a/core/src/main/java/dev/toucanstall/core/plan/PlanReducer.java
+++ b/core/src/main/java/dev/toucanstall/core/plan/PlanReducer.java
@@ -1,5 +1,6 @@
 package dev.toucanstall.core.plan;
 
+import dev.toucanstall.core.lease.LeaseBound;
 import java.util.List;
 
 /**
@@ -9,15 +10,6 @@
  */
 public final class PlanReducer {
 
-  /** Longest lease that a planner gives, in milliseconds of the backend server's clock. */
-  public static final long LEASE_MS = 5_500;
-
-  /**
-   * Longest lease that a backend server grants, in milliseconds of its clock. It shortens a longer
-   * one.
-   */
-  static final long MAX_LEASE_MS = 10_000;
-
   /**
    * Longest time from the store's last confirmation of a planner's epoch to the end of a lease that
    * the planner gives, in milliseconds. A successor waits for it before it starts the tasks of a
@@ -29,7 +21,7 @@
    * The same during an outage of the store for all entry instances that the planner knows of, in
    * milliseconds. No successor can be elected then, and the runs should outlive the outage.
    */
-  public static final long OUTAGE_LEASE_HORIZON_MS = MAX_LEASE_MS;
+  public static final long OUTAGE_LEASE_HORIZON_MS = LeaseBound.MAX_LEASE_MS;
 
   /**
    * Time within which a start must be carried out, in milliseconds of the backend server's clock.
@@ -44,16 +36,6 @@
 
   private PlanReducer() {}
 
-  /**
-   * Returns the longest time that a backend server's clock, which may be slow, takes for a length.
-   *
-   * @param lengthMs length in milliseconds of the backend server's clock
-   * @return the time in milliseconds of the planner's monotonic clock
-   */
-  public static long longestDurationMs(long lengthMs) {
-    return (long) (lengthMs / Server.MIN_CLOCK_RATE) + 1;
-  }
-
   /**
    * Decides on an event.
    *
--- a/core/src/main/java/dev/toucanstall/core/plan/Recovery.java
+++ b/core/src/main/java/dev/toucanstall/core/plan/Recovery.java
@@ -7,6 +7,7 @@
 import dev.toucanstall.core.job.ServerEntry;
 import dev.toucanstall.core.job.TaskKey;
 import dev.toucanstall.core.job.TaskPhase;
+import dev.toucanstall.core.lease.LeaseBound;
 import dev.toucanstall.core.model.Address;
 import java.util.List;
 import java.util.Set;
@@ -152,10 +153,11 @@
             Resources.NONE,
             Set.of(),
             0);
-    Server server = new Server(entry, now.steadyMs());
+    Server server =
+        new Server(
+            entry, LeaseBound.ofPredecessors(task.job.plan.predecessorLeasesEndMs), now.steadyMs());
     server.unlisted = true;
     server.unresponsiveSinceMs = now.steadyMs();
-    server.leasesExpiredMs = task.job.plan.predecessorLeasesEndMs;
     return server;
   }
 }
--- a/core/src/main/java/dev/toucanstall/core/plan/Server.java
+++ b/core/src/main/java/dev/toucanstall/core/plan/Server.java
@@ -3,6 +3,8 @@
 import dev.toucanstall.core.job.Resources;
 import dev.toucanstall.core.job.ServerEntry;
 import dev.toucanstall.core.job.TaskPhase;
+import dev.toucanstall.core.lease.LeaseBound;
+import dev.toucanstall.core.lease.ServerClock;
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.LinkedHashSet;
@@ -12,21 +14,9 @@
 /** One incarnation of a backend server, as the planner knows it. Owned by the control thread. */
 final class Server {
 
-  /** Slowest rate of a backend server's clock relative to the planner's clock. */
-  static final double MIN_CLOCK_RATE = 0.98;
-
   /** Number of fencing tokens for one epoch, one for each incarnation under an id. */
   private static final long TOKENS_PER_EPOCH = 1_024;
 
-  /** Fastest rate of a backend server's clock relative to the planner's clock. */
-  private static final double MAX_CLOCK_RATE = 1.02;
-
-  /** Tolerance for readings of a backend server's clock, in milliseconds. */
-  private static final long CLOCK_TOLERANCE_MS = 50;
-
-  /** Longest time that a slow clock loses between two readings of it, in milliseconds. */
-  private static final long CLOCK_DRIFT_MS = 200;
-
   /** Newest entry of the backend server; changed by {@link #updateEntry} only. */
   ServerEntry entry;
 
@@ -65,26 +55,11 @@
    */
   long unresponsiveSinceMs;
 
-  /** Last reading of the backend server's monotonic clock, in milliseconds. */
-  long serverClockMs;
+  /** Clock of this incarnation. */
+  final ServerClock clock;
 
-  /**
-   * Time of the last reading of the backend server's clock, in milliseconds of the planner's
-   * monotonic clock.
-   */
-  long clockReadMs;
-
-  /**
-   * Time at which all leases ever given have surely expired on the backend server's clock, in
-   * milliseconds of the planner's monotonic clock.
-   */
-  long leasesExpiredMs;
-
-  /**
-   * Time since which a reading of the clock shows a later incarnation that no entry or list has
-   * shown yet, in milliseconds of the monotonic clock, 0 if none does.
-   */
-  long restartSuspectedSinceMs;
+  /** Time by which all leases have expired, also those of former incarnations. */
+  final LeaseBound leases;
 
   /** Number of the newest finished run that is stored. */
   long storedCompletion;
@@ -150,11 +125,11 @@
   /** Bound tasks in the order of their binding. */
   final Set<Task> tasks = new LinkedHashSet<>();
 
-  Server(ServerEntry entry, long nowMs) {
+  Server(ServerEntry entry, LeaseBound leases, long nowMs) {
     this.entry = entry;
     this.freeCapacity = entry.capacity();
-    this.serverClockMs = entry.serverClockMs();
-    this.clockReadMs = nowMs;
+    this.clock = new ServerClock(entry.serverClockMs(), nowMs);
+    this.leases = leases;
     this.lastUsedMs = nowMs;
   }
 
@@ -172,22 +147,17 @@
   /**
    * Takes over a later incarnation under the same id. Its finished runs are numbered anew, and
    * earlier runs have ended unless its lists show otherwise.
-   *
-   * <p>Until it has seen the fencing token for this incarnation, orders to a former one may reach
-   * it. Their lease ends on the former clock, so it may last as long as a backend server grants.
    */
   void beginIncarnation(ServerEntry newEntry, long nowMs) {
     updateEntry(newEntry);
     answered = false;
-    restartSuspectedSinceMs = 0;
     renewalPending = false;
     nextRenewalMs = 0;
     storedCompletion = 0;
     acknowledgedCompletion = 0;
     appliedCompletion = 0;
-    readClock(newEntry.serverClockMs(), nowMs);
-    leasesExpiredMs =
-        Math.max(leasesExpiredMs, nowMs + PlanReducer.longestDurationMs(PlanReducer.MAX_LEASE_MS));
+    clock.read(newEntry.serverClockMs(), nowMs);
+    leases.restarted(nowMs);
     tasks.stream()
         .filter(t -> t.phase != TaskPhase.ORDERED)
         .forEach(t -> t.absenceConclusiveAfterMs = t.stopSent ? t.absenceConclusiveAfterMs : nowMs);
@@ -295,37 +265,6 @@
     return freeCapacity;
   }
 
-  void readClock(long reading, long nowMs) {
-    serverClockMs = reading;
-    clockReadMs = nowMs;
-  }
-
-  /**
-   * Returns whether a reading of the clock is lower than any of this incarnation can be, so that a
-   * later one has answered, whose clock begins anew.
-   *
-   * @param reading the reading, in milliseconds of the backend server's clock
-   * @param sentMs time at which the answered call was sent or earlier, in milliseconds of the
-   *     monotonic clock
-   */
-  boolean showsRestart(long reading, long sentMs) {
-    long sinceReadMs = sentMs - clockReadMs;
-    double rate = sinceReadMs >= 0 ? MIN_CLOCK_RATE : MAX_CLOCK_RATE;
-    return reading < serverClockMs + (long) (sinceReadMs * rate) - CLOCK_TOLERANCE_MS;
-  }
-
-  /**
-   * Returns the time at which all leases have surely expired, in milliseconds of the planner's
-   * clock. A later incarnation that is only suspected may have the longest lease.
-   */
-  long leaseBoundMs() {
-    return restartSuspectedSinceMs == 0
-        ? leasesExpiredMs
-        : Math.max(
-            leasesExpiredMs,
-            restartSuspectedSinceMs + PlanReducer.longestDurationMs(PlanReducer.MAX_LEASE_MS));
-  }
-
   /**
    * Returns whether a start to this backend server may have been carried out by a later incarnation
    * as far as the planner knows: it was sent some time ago, but after the newest list was
@@ -336,38 +275,30 @@
    */
   boolean hasUnconfirmedStart(long sentBeforeMs) {
     return tasks.stream()
-        .filter(t -> t.startsSent > 0)
-        .filter(t -> t.phase == TaskPhase.ORDERED || t.startUnanswered)
+        .filter(Server::isUnconfirmed)
         .anyMatch(t -> t.orderedMs >= listRequestedMs && t.orderedMs < sentBeforeMs);
   }
 
+  /** Returns the number of starts that were sent and whose runs no answer or list has shown. */
+  long unconfirmedStarts() {
+    return tasks.stream().filter(Server::isUnconfirmed).count();
+  }
+
+  private static boolean isUnconfirmed(Task task) {
+    return task.startsSent > 0 && (task.phase == TaskPhase.ORDERED || task.startUnanswered);
+  }
+
   /**
    * Gives a lease: returns its expiry on the backend server's clock, and extends the time at which
-   * all leases have surely expired. The expiry counts from the earliest time that the clock may
-   * show now, so that a slow clock lengthens the lease by no more than its rate, however long ago
-   * it was read.
+   * all leases have surely expired.
    *
    * @param lengthMs length of the lease, in milliseconds
    * @param nowMs time of the event, in milliseconds of the monotonic clock
    * @return the expiry in milliseconds of the backend server's clock
    */
   long extendLease(long lengthMs, long nowMs) {
-    long slowestClockMs = serverClockMs + (long) ((nowMs - clockReadMs) * MIN_CLOCK_RATE);
-    leasesExpiredMs = Math.max(leasesExpiredMs, nowMs + PlanReducer.longestDurationMs(lengthMs));
-    return slowestClockMs + lengthMs;
-  }
-
-  /**
-   * Limits the time at which all leases have expired. The backend server has seen the fencing token
-   * of this planner for this incarnation, so no lease is longer than one that a predecessor gave
-   * just now. A later incarnation may have been given one on the clock of a former one.
-   *
-   * @param nowMs time of the event, in milliseconds of the monotonic clock
-   */
-  void capLeases(long nowMs) {
-    long lengthMs = formerIncarnations == 0 ? PlanReducer.LEASE_MS : PlanReducer.MAX_LEASE_MS;
-    long longest = PlanReducer.longestDurationMs(lengthMs + CLOCK_DRIFT_MS);
-    leasesExpiredMs = Math.min(leasesExpiredMs, nowMs + longest);
+    leases.given(lengthMs, nowMs);
+    return clock.expiryMs(lengthMs, nowMs);
   }
 
   boolean takesTasks(long nowMs) {
--- a/core/src/main/java/dev/toucanstall/core/plan/ServerRules.java
+++ b/core/src/main/java/dev/toucanstall/core/plan/ServerRules.java
@@ -2,6 +2,7 @@
 
 import dev.toucanstall.core.job.ServerEntry;
 import dev.toucanstall.core.job.TaskPhase;
+import dev.toucanstall.core.lease.LeaseBound;
 import java.util.List;
 import java.util.Set;
 import java.util.stream.Collectors;
@@ -69,9 +70,7 @@
       restarted(plan, existing, entry, now);
     }
     if (existing == null) {
-      Server added = new Server(entry, now.steadyMs());
-      added.leasesExpiredMs =
-          now.steadyMs() + PlanReducer.longestDurationMs(PlanReducer.MAX_LEASE_MS);
+      Server added = new Server(entry, LeaseBound.ofListed(now.steadyMs()), now.steadyMs());
       added.moving = plan.moves.mayEnd(entry.id());
       plan.servers.put(added);
       added.updateEntry(entry);
@@ -79,8 +78,8 @@
       logServerEvent(plan, "server-listed", added, entry.draining() ? "draining" : "ready");
       return;
     }
-    if (existing.unlisted && existing.serverClockMs == 0) {
-      existing.readClock(entry.serverClockMs(), now.steadyMs());
+    if (existing.unlisted && existing.clock.isUnknown()) {
+      existing.clock.read(entry.serverClockMs(), now.steadyMs());
     }
     boolean startsDraining = entry.draining() && !existing.entry.draining();
     if (startsDraining || existing.unlisted || !existing.entry.service().equals(entry.service())) {
@@ -124,7 +123,12 @@
   static void restarted(Plan plan, Server server, ServerEntry newEntry, Now now) {
     server.beginIncarnation(newEntry, now.steadyMs());
     plan.servers.recordIncarnation(server);
-    logServerEvent(plan, "server-reborn", server, "tasks " + server.tasks.size());
+    logServerEvent(
+        plan,
+        "server-reborn",
+        server,
+        "tasks %d, unconfirmed starts %d"
+            .formatted(server.tasks.size(), server.unconfirmedStarts()));
   }
 
   /**
@@ -132,10 +136,14 @@
    * lists will show it.
    */
   static void suspectRestart(Plan plan, Server server, Now now) {
-    if (server.restartSuspectedSinceMs == 0) {
-      logServerEvent(plan, "server-restart-suspected", server, "its clock is behind");
+    if (!server.leases.isRestartSuspected()) {
+      logServerEvent(
+          plan,
+          "server-restart-suspected",
+          server,
+          "its clock is behind, unconfirmed starts " + server.unconfirmedStarts());
     }
-    server.restartSuspectedSinceMs = now.steadyMs();
+    server.leases.restartSuspected(now.steadyMs());
     server.markForRenewal();
   }
 
@@ -144,7 +152,7 @@
    * been withheld for long: starts that take long to be answered must not withhold it for ever.
    */
   private static boolean mayAcknowledge(Server server, Now now) {
-    if (server.restartSuspectedSinceMs > 0) {
+    if (server.leases.isRestartSuspected()) {
       return false;
     }
     boolean withheldForLong =
@@ -219,12 +227,12 @@
    * marks it or leaves it marked.
    */
   static void renewLeases(Plan plan, Now now) {
-    long leaseMs = Math.min(PlanReducer.LEASE_MS, plan.leaseEndMs() - now.steadyMs());
+    long leaseMs = Math.min(LeaseBound.LEASE_MS, plan.leaseEndMs() - now.steadyMs());
     if (leaseMs <= 0) {
       return;
     }
     for (Server server : plan.servers.takeDueForRenewal()) {
-      if (server.unresponsiveSinceMs > 0 && now.steadyMs() >= server.leaseBoundMs()) {
+      if (server.unresponsiveSinceMs > 0 && now.steadyMs() >= server.leases.expiredMs()) {
         leasesExpired(plan, server, now);
       }
       if (needsRenewal(server, now)) {
@@ -240,9 +248,13 @@
   /** Releases the tasks of a backend server whose leases have all expired. */
   private static void leasesExpired(Plan plan, Server server, Now now) {
     if (!server.tasks.isEmpty()) {
-      logServerEvent(plan, "leases-out", server, "tasks " + server.tasks.size());
+      logServerEvent(
+          plan,
+          "leases-out",
+          server,
+          "tasks %d, bound by %s".formatted(server.tasks.size(), server.leases.source()));
       RunEvidence evidence =
-          new RunEvidence(RunEvidence.Kind.LEASES_EXPIRED, server.leaseBoundMs());
+          new RunEvidence(RunEvidence.Kind.LEASES_EXPIRED, server.leases.expiredMs());
       releaseAll(plan, server, evidence, now);
     }
     server.answered = false;
@@ -262,7 +274,7 @@
     }
     return !server.answered
         || server.unresponsiveSinceMs > 0
-        || server.restartSuspectedSinceMs > 0
+        || server.leases.isRestartSuspected()
         || !server.tasks.isEmpty()
         || server.storedCompletion > server.acknowledgedCompletion;
   }
--- a/core/src/main/java/dev/toucanstall/core/plan/Servers.java
+++ b/core/src/main/java/dev/toucanstall/core/plan/Servers.java
@@ -115,6 +115,9 @@
   /** Records the incarnation of a backend server that was added or has started again. */
   void recordIncarnation(Server server) {
     server.formerIncarnations = incarnations.record(server.entry.id(), server.entry.startTimeMs());
+    if (server.formerIncarnations > 0) {
+      server.leases.formerIncarnationKnown();
+    }
   }
 
   /** Returns whether an entry is of an incarnation that was replaced under its id. */
--- a/core/src/test/java/dev/toucanstall/core/node/PredecessorContactTest.java
+++ b/core/src/test/java/dev/toucanstall/core/node/PredecessorContactTest.java
@@ -2,6 +2,7 @@
 
 import static com.google.common.truth.Truth.assertThat;
 
+import dev.toucanstall.core.lease.LeaseBound;
 import dev.toucanstall.core.plan.Now;
 import dev.toucanstall.core.plan.PlanReducer;
 import org.junit.jupiter.api.Test;
@@ -37,7 +38,7 @@
     follow(1, 100, 20_000);
     long lastPingMs = 10_000 + PredecessorContact.MAX_PING_DELAY_MS;
     assertThat(contact.prolongedLeasesEndMs(1, at(20_000)))
-        .isAtLeast(lastPingMs + PlanReducer.LEASE_MS);
+        .isAtLeast(lastPingMs + LeaseBound.LEASE_MS);
   }
 
   /** Guards against a short bound of an instance that the planner does not count any more. */
--- a/core/src/test/java/dev/toucanstall/core/plan/OrderWindowTest.java
+++ b/core/src/test/java/dev/toucanstall/core/plan/OrderWindowTest.java
@@ -5,6 +5,7 @@
 import dev.toucanstall.core.job.Resources;
 import dev.toucanstall.core.job.ServerEntry;
 import dev.toucanstall.core.job.TaskKey;
+import dev.toucanstall.core.lease.LeaseBound;
 import dev.toucanstall.core.model.Address;
 import java.util.Set;
 import org.junit.jupiter.api.Test;
@@ -26,7 +27,7 @@
     ServerEntry entry =
         new ServerEntry(
             "w" + number, 1, "s", address, "dc", false, Resources.NONE, Set.of(), START_MS);
-    return new Server(entry, START_MS);
+    return new Server(entry, LeaseBound.ofListed(START_MS), START_MS);
   }
 
   private static OrderWindow.SentOrder order(int number) {
--- a/core/src/test/java/dev/toucanstall/core/plan/PlanTest.java
+++ b/core/src/test/java/dev/toucanstall/core/plan/PlanTest.java
@@ -12,6 +12,8 @@
 import dev.toucanstall.core.job.Resources;
 import dev.toucanstall.core.job.TaskKey;
 import dev.toucanstall.core.job.WaveOrder;
+import dev.toucanstall.core.lease.LeaseBound;
+import dev.toucanstall.core.lease.ServerClock;
 import java.util.List;
 import java.util.Objects;
 import java.util.Set;
@@ -170,7 +172,7 @@
     sim.run(1_000);
     sim.requireServer("w1").crash();
     sim.addServer("w2", 10_000);
-    sim.run((long) (PlanReducer.LEASE_MS / Server.MIN_CLOCK_RATE) + 300);
+    sim.run(ServerClock.longestDurationMs(LeaseBound.LEASE_MS) + 300);
     assertThat(activeRunsOf(sim, "j")).isEqualTo(3);
     assertThat(sim.violations).isEmpty();
   }
@@ -400,7 +402,7 @@
     sim.addServer("w2", 10_000);
     final Plan plan = Objects.requireNonNull(sim.planner).plan;
     final Server server = Objects.requireNonNull(plan.servers.get("w1"));
-    while (sim.now().steadyMs() < server.leasesExpiredMs - 20) {
+    while (sim.now().steadyMs() < server.leases.expiredMs() - 20) {
       sim.run(10);
     }
     sim.storeDelayMs = 2_000;
@@ -702,7 +704,7 @@
     sim.storeAvailable = true;
     sim.run(30);
     assertThat(inUse.getLast().running).hasSize(1);
-    sim.run(8_000 + PlanReducer.LEASE_MS);
+    sim.run(8_000 + LeaseBound.LEASE_MS);
     assertThat(activeRunsOf(sim, "j")).isEqualTo(4);
     assertThat(inUse.getLast().running).isEmpty();
   }
