Send no start or lease to a backend server whose incarnation is in doubt

Cause of the long lease: a start that had no answer, as its backend server was restarting, was sent again 0.7 s later, by the clock of the incarnation that was gone; the later one granted 10 s. Starts and renewals went on while an answer had already shown a later clock. Change: after an order without an answer, or an answer with a clock that is behind, the lists are requested at once, also past a renewal that waits. Until they show the incarnation, it gets no starts and no lease. A start without an answer is sent again only if lists that were requested later lack its run; after three sends the run is stopped, as before. A lasting task's start needs no case of its own any more: without lists it isn't sent again. Results of renewals that were sent before the newest lists are ignored.

--- a/core/src/main/java/dev/toucanstall/core/plan/LeaseRenewalRules.java
+++ b/core/src/main/java/dev/toucanstall/core/plan/LeaseRenewalRules.java
@@ -37,13 +37,16 @@
 
   /**
    * Handles the result of a lease renewal. Ignores it if the planner knows another incarnation of
-   * the backend server by now.
+   * the backend server by now, or has applied lists that were requested later.
    */
   static void renewalEnded(Plan plan, PlanEvent.Held held, Now now) {
     Server server = plan.servers.get(held.server());
     if (server == null || server.entry.startTimeMs() != held.serverStartTimeMs()) {
       return;
     }
+    if (held.sentMs() < server.listRequestedMs) {
+      return;
+    }
     server.renewalPending = false;
     server.markForRenewal();
     switch (held.result()) {
@@ -98,7 +101,7 @@
       server.leases.tokenSeen(now.steadyMs());
     }
     server.answered = true;
-    server.leases.incarnationShown();
+    server.incarnationShown(held.sentMs());
     server.listRequestedMs = held.sentMs();
     server.unresponsiveSinceMs = 0;
     server.clock.read(listed.serverClockMs(), now.steadyMs());
@@ -120,6 +123,7 @@
     if (listed.complete() && listed.finished().size() < TRUNCATION_LENGTH) {
       releaseAbsent(plan, server, listedTasks, held.sentMs(), now);
     }
+    OrderRules.resendMissingStarts(plan, server, listedTasks, held.sentMs());
     acknowledgeOnceStored(plan, server);
   }
 
--- a/core/src/main/java/dev/toucanstall/core/plan/OrderRules.java
+++ b/core/src/main/java/dev/toucanstall/core/plan/OrderRules.java
@@ -2,7 +2,9 @@
 
 import dev.toucanstall.core.job.TaskKey;
 import dev.toucanstall.core.job.TaskPhase;
+import java.util.List;
 import java.util.Optional;
+import java.util.Set;
 import java.util.function.Predicate;
 
 /** Decides when starts and stops of runs are sent, and on their results. */
@@ -69,6 +71,7 @@
   private static void sendStart(Plan plan, Server server, Task task, Now now) {
     plan.orders.sent(server, new OrderWindow.SentOrder(task.key, task.run, false), now);
     task.startsSent++;
+    task.startGivenUpMs = 0;
     task.orderedMs = now.steadyMs();
     plan.emit(
         new PlanEffect.Start(
@@ -204,7 +207,7 @@
           ServerRules.markUnresponsive(plan, server, "start: connection refused", now);
         }
       }
-      case OrderResult.Unanswered unanswered -> task.ifPresent(t -> startUnanswered(plan, t, now));
+      case OrderResult.Unanswered unanswered -> task.ifPresent(t -> startUnanswered(t, now));
     }
   }
 
@@ -306,28 +309,43 @@
   }
 
   /**
-   * Handles a start without an answer: sends it again, or stops the run after too many sends. A run
-   * that a list has shown meanwhile needs neither.
-   *
-   * <p>The start of a lasting task may have succeeded. It is sent again without limit while the
-   * step may not miss another task, until a list that was requested after the last send lacks the
-   * run.
+   * Handles a start without an answer. It may have succeeded, and the backend server may have
+   * started again meanwhile, so the lists are read before it is sent again. A run that a list has
+   * shown meanwhile needs neither.
    */
-  private static void startUnanswered(Plan plan, Task task, Now now) {
+  private static void startUnanswered(Task task, Now now) {
     if (task.phase == TaskPhase.RUNNING) {
       return;
     }
     task.startUnanswered = true;
-    if (task.phase != TaskPhase.ORDERED) {
-      return;
-    }
+    task.startGivenUpMs = now.steadyMs();
     Server server = task.server;
-    boolean absent = server != null && server.listRequestedMs > task.orderedMs;
-    boolean keepsSending = task.step.lasting() && !absent && !Evacuation.mayStop(task, now);
-    if (task.startsSent < MAX_SENDS || keepsSending) {
-      resendOnceConfirmed(plan, task);
-    } else {
-      stopOnceStored(plan, task);
+    if (server != null) {
+      server.doubtIncarnation(now.steadyMs());
+    }
+  }
+
+  /**
+   * Sends the starts again that had no answer and whose runs the lists of a backend server lack;
+   * after too many sends the run is stopped instead.
+   *
+   * @param listed tasks that the lists show
+   * @param requestedMs time at which the lists were requested, in milliseconds of the monotonic
+   *     clock
+   */
+  static void resendMissingStarts(Plan plan, Server server, Set<TaskKey> listed, long requestedMs) {
+    List<Task> missing =
+        server.tasks.stream()
+            .filter(t -> t.phase == TaskPhase.ORDERED && !listed.contains(t.key))
+            .filter(t -> t.startGivenUpMs > 0 && t.startGivenUpMs < requestedMs)
+            .toList();
+    for (Task task : missing) {
+      task.startGivenUpMs = 0;
+      if (task.startsSent < MAX_SENDS) {
+        resendOnceConfirmed(plan, task);
+      } else {
+        stopOnceStored(plan, task);
+      }
     }
   }
 
--- a/core/src/main/java/dev/toucanstall/core/plan/Server.java
+++ b/core/src/main/java/dev/toucanstall/core/plan/Server.java
@@ -55,6 +55,12 @@
    */
   long unresponsiveSinceMs;
 
+  /**
+   * Time since which it is in doubt which incarnation answers, as an order had no answer, in
+   * milliseconds of the monotonic clock; 0 once lists that were requested later have shown it.
+   */
+  private long inDoubtSinceMs;
+
   /** Clock of this incarnation. */
   final ServerClock clock;
 
@@ -151,8 +157,8 @@
   void beginIncarnation(ServerEntry newEntry, long nowMs) {
     updateEntry(newEntry);
     answered = false;
-    renewalPending = false;
-    nextRenewalMs = 0;
+    inDoubtSinceMs = 0;
+    requestLists();
     storedCompletion = 0;
     acknowledgedCompletion = 0;
     appliedCompletion = 0;
@@ -279,6 +285,41 @@
         .anyMatch(t -> t.orderedMs >= listRequestedMs && t.orderedMs < sentBeforeMs);
   }
 
+  /**
+   * Takes note that an order had no answer: the backend server may have started again meanwhile.
+   * Its lists are requested at once, unless they are requested already.
+   */
+  void doubtIncarnation(long nowMs) {
+    boolean requested = isIncarnationInDoubt() || unresponsiveSinceMs > 0;
+    inDoubtSinceMs = nowMs;
+    if (!requested) {
+      requestLists();
+    }
+  }
+
+  /** Has the lists requested at once, also while a lease renewal is under way. */
+  void requestLists() {
+    renewalPending = false;
+    nextRenewalMs = 0;
+    markForRenewal();
+  }
+
+  /** Takes note that lists have shown the incarnation. */
+  void incarnationShown(long listsRequestedMs) {
+    leases.incarnationShown();
+    if (inDoubtSinceMs < listsRequestedMs) {
+      inDoubtSinceMs = 0;
+    }
+  }
+
+  /**
+   * Returns whether a later incarnation may answer instead of this one as far as the planner knows,
+   * so that orders with times on this one's clock are not sent.
+   */
+  boolean isIncarnationInDoubt() {
+    return inDoubtSinceMs > 0 || leases.isRestartSuspected();
+  }
+
   /** Returns the number of starts that were sent and whose runs no answer or list has shown. */
   long unconfirmedStarts() {
     return tasks.stream().filter(Server::isUnconfirmed).count();
@@ -303,6 +344,7 @@
 
   boolean takesTasks(long nowMs) {
     return answered
+        && !isIncarnationInDoubt()
         && !unlisted
         && !entry.draining()
         && !evacuating
--- a/core/src/main/java/dev/toucanstall/core/plan/ServerRules.java
+++ b/core/src/main/java/dev/toucanstall/core/plan/ServerRules.java
@@ -141,6 +141,9 @@
    * lists will show it.
    */
   static void suspectRestart(Plan plan, Server server, Now now) {
+    if (!server.isIncarnationInDoubt()) {
+      server.requestLists();
+    }
     if (!server.leases.isRestartSuspected()) {
       logServerEvent(
           plan,
@@ -280,7 +283,7 @@
     }
     return !server.answered
         || server.unresponsiveSinceMs > 0
-        || server.leases.isRestartSuspected()
+        || server.isIncarnationInDoubt()
         || !server.tasks.isEmpty()
         || server.storedCompletion > server.acknowledgedCompletion;
   }
@@ -295,19 +298,28 @@
   }
 
   /**
-   * Sends a renewal of a backend server's leases. Leases of an unresponsive backend server are not
-   * renewed, but its lists are read.
+   * Sends a renewal of a backend server's leases. Leases of an unresponsive backend server, or of
+   * one whose incarnation is in doubt, are not renewed, but the lists are read: on the clock of a
+   * later incarnation, the time of this one gives the longest lease.
    */
   private static void renewLease(Plan plan, Server server, long leaseMs, Now now) {
     boolean hasRuns =
         server.tasks.stream().anyMatch(t -> t.phase != TaskPhase.ORDERED || t.startsSent > 0);
-    boolean renews = !server.tasks.isEmpty() && server.unresponsiveSinceMs == 0;
+    boolean renews =
+        !server.tasks.isEmpty()
+            && server.unresponsiveSinceMs == 0
+            && !server.isIncarnationInDoubt();
     long leaseExpiryMs = renews ? server.extendLease(leaseMs, now.steadyMs()) : 0;
     long maxWaitMs =
         server.tasks.stream().anyMatch(ServerRules::isStartingUp)
             ? START_UP_WAIT_MS
             : RENEWAL_WAIT_MS;
-    long waitMs = server.answered && hasRuns && server.unresponsiveSinceMs == 0 ? maxWaitMs : 0;
+    boolean waits =
+        server.answered
+            && hasRuns
+            && server.unresponsiveSinceMs == 0
+            && !server.isIncarnationInDoubt();
+    long waitMs = waits ? maxWaitMs : 0;
     server.renewalPending = true;
     server.renewalSentMs = now.steadyMs();
     plan.emit(
--- a/core/src/main/java/dev/toucanstall/core/plan/Task.java
+++ b/core/src/main/java/dev/toucanstall/core/plan/Task.java
@@ -53,6 +53,12 @@
   /** Number of times that the start of this run was sent in this term. */
   int startsSent;
 
+  /**
+   * Time at which the last start that was sent had no answer, in milliseconds of the monotonic
+   * clock, 0 while it may yet have one.
+   */
+  long startGivenUpMs;
+
   /**
    * Time after which a requested list of runs must show this run if it still exists, in
    * milliseconds of the monotonic clock: the time at which the last order for it was answered. 0
@@ -127,6 +133,7 @@
     server = null;
     startUnanswered = false;
     startsSent = 0;
+    startGivenUpMs = 0;
     stopSent = false;
     stopUndelivered = false;
     stopAwaitsStore = false;
