--- a/core/src/main/java/dev/toucanstall/core/plan/ServerRules.java
+++ b/core/src/main/java/dev/toucanstall/core/plan/ServerRules.java
@@ -279,6 +279,9 @@
   /**
    * Sends a renewal of a backend server's leases. Leases of an unresponsive backend server are not
    * renewed, but its lists are read.
+   *
+   * <p>A renewal that acknowledges finished runs does not wait for another: a later incarnation
+   * would forget the run that ends the wait.
    */
   private static void renewLease(Plan plan, Server server, long leaseMs, Now now) {
     boolean hasRuns =
@@ -289,14 +292,20 @@
         server.tasks.stream().anyMatch(ServerRules::isStartingUp)
             ? START_UP_WAIT_MS
             : RENEWAL_WAIT_MS;
-    long waitMs = server.answered && hasRuns && server.unresponsiveSinceMs == 0 ? maxWaitMs : 0;
+    long acknowledgedCompletion = acknowledgement(server, now);
+    boolean waits =
+        server.answered
+            && hasRuns
+            && server.unresponsiveSinceMs == 0
+            && acknowledgedCompletion == 0;
+    long waitMs = waits ? maxWaitMs : 0;
     server.renewalPending = true;
     server.renewalSentMs = now.steadyMs();
     plan.emit(
         new PlanEffect.Hold(
             server.entry,
             server.fencingToken(plan.epoch),
-            acknowledgement(server, now),
+            acknowledgedCompletion,
             leaseExpiryMs,
             waitMs));
   }
