--- a/core/src/main/java/dev/toucanstall/core/plan/ServerRules.java
+++ b/core/src/main/java/dev/toucanstall/core/plan/ServerRules.java
@@ -174,10 +174,12 @@
    * Returns the finished run up to which a renewal acknowledges, 0 for none.
    *
    * <p>A later incarnation numbers its finished runs anew, and would forget those that nobody has
-   * read. So nothing is acknowledged twice, or while a run may have been started by one.
+   * read. So nothing is acknowledged twice, or while a run may have been started by one. After a
+   * renewal without an answer, a list must first show which incarnation is there.
    */
   private static long acknowledgement(Server server, Now now) {
-    if (server.storedCompletion <= server.acknowledgedCompletion) {
+    if (server.storedCompletion <= server.acknowledgedCompletion
+        || server.unresponsiveSinceMs > 0) {
       server.acknowledgementWithheldSinceMs = 0;
       return 0;
     }
@@ -301,6 +303,9 @@
    * Sends a renewal of a backend server's leases. Leases of an unresponsive backend server, or of
    * one whose incarnation is in doubt, are not renewed, but the lists are read: on the clock of a
    * later incarnation, the time of this one gives the longest lease.
+   *
+   * <p>A renewal that acknowledges finished runs does not wait for another: a later incarnation
+   * would forget the run that ends the wait.
    */
   private static void renewLease(Plan plan, Server server, long leaseMs, Now now) {
     boolean hasRuns =
@@ -314,11 +319,13 @@
         server.tasks.stream().anyMatch(ServerRules::isStartingUp)
             ? START_UP_WAIT_MS
             : RENEWAL_WAIT_MS;
+    long acknowledgedCompletion = acknowledgement(server, now);
     boolean waits =
         server.answered
             && hasRuns
             && server.unresponsiveSinceMs == 0
-            && !server.isIncarnationInDoubt();
+            && !server.isIncarnationInDoubt()
+            && acknowledgedCompletion == 0;
     long waitMs = waits ? maxWaitMs : 0;
     server.renewalPending = true;
     server.renewalSentMs = now.steadyMs();
@@ -326,7 +333,7 @@
         new PlanEffect.Hold(
             server.entry,
             server.fencingToken(plan.epoch),
-            acknowledgement(server, now),
+            acknowledgedCompletion,
             leaseExpiryMs,
             waitMs));
   }
