Moves and maintenance share one type for an order to a machine

MachineOrder holds what both kinds of order repeat: the stored intent, the request under way, the time until which an unanswered request may be carried out, and the pause before the next one. Behaviour is unchanged: MaintenanceTest, PoolRebalancingTest and PlanTest pass as before.

--- a/core/src/main/java/dev/toucanstall/core/plan/MachineMoves.java
+++ b/core/src/main/java/dev/toucanstall/core/plan/MachineMoves.java
@@ -18,38 +18,21 @@
   private static final int MAX_MOVE_BYTES = 2_000;
 
   /** Order to move a machine to another pool, until its outcome is final. */
-  static final class Move {
-
-    final String machine;
+  static final class Move extends MachineOrder {
 
     /** Service whose pool the machine joins. */
     final String service;
 
-    /** Id of the backend server that ends with the move, empty if none. */
-    final String server;
-
-    /**
-     * Whether the intent is stored, so that the next planner knows of it. The order is sent only
-     * then.
-     */
-    boolean stored;
-
-    /** Whether a request to the platform is under way. */
-    boolean requestPending;
-
     /**
-     * Latest time at which an unanswered order may be carried out, in milliseconds of the monotonic
-     * clock, 0 if there is none.
+     * Creates an order.
+     *
+     * @param machine name of the machine
+     * @param service service whose pool the machine joins
+     * @param server id of the backend server that ends with the move, empty if none
      */
-    long mayApplyUntilMs;
-
-    /** Earliest time of the next request, in milliseconds of the monotonic clock. */
-    long retryAfterMs;
-
     Move(String machine, String service, String server) {
-      this.machine = machine;
+      super(machine, server);
       this.service = service;
-      this.server = server;
     }
   }
 
@@ -101,8 +84,7 @@
   /** Restores an order of an earlier planner, which may yet be carried out. */
   void restore(MachineMove order, Now now) {
     Move move = new Move(order.machine(), order.service(), order.server());
-    move.stored = true;
-    move.mayApplyUntilMs = now.steadyMs() + PoolRebalancing.MAX_ORDER_DELAY_MS;
+    move.restored(now);
     open.put(move.machine, move);
   }
 
--- a/core/src/main/java/dev/toucanstall/core/plan/Maintenance.java
+++ b/core/src/main/java/dev/toucanstall/core/plan/Maintenance.java
@@ -111,8 +111,7 @@
     if (wave == null || order == null) {
       return;
     }
-    order.requestPending = false;
-    order.retryAfterMs = now.steadyMs() + RETRY_PAUSE_MS;
+    order.requestEnded(RETRY_PAUSE_MS, now);
     plan.logEvent(
         "maintenance-answered",
         "wave",
@@ -124,7 +123,7 @@
     switch (event.result()) {
       case BEGUN -> maintenanceBegun(plan, wave, order, now);
       case UNFIT -> {
-        if (now.steadyMs() >= order.mayApplyUntilMs) {
+        if (!order.mayStillApply(now)) {
           cancelEmptying(plan, wave, order.machine);
           endEvacuation(plan, order.server);
           wave.rejected.add(order.machine);
@@ -133,7 +132,7 @@
         }
       }
       case FENCED -> plan.emit(new PlanEffect.Resign("a machine has seen a higher fencing token"));
-      case MAYBE -> order.mayApplyUntilMs = now.steadyMs() + PoolRebalancing.MAX_ORDER_DELAY_MS;
+      case MAYBE -> order.unanswered(now);
       default -> {
         // The order is sent again after a pause.
       }
@@ -209,7 +208,7 @@
     Wave wave = plan.waves.get(order.wave);
     boolean inWave = wave != null && wave.machines.contains(order.machine);
     return plan.machines.maintenanceBegun(order.wave).contains(order.machine)
-        || (!inWave && now.steadyMs() >= order.mayApplyUntilMs);
+        || (!inWave && !order.mayStillApply(now));
   }
 
   /** Begins to evacuate a backend server, unless it is unknown or being evacuated. */
@@ -295,8 +294,7 @@
     MaintenanceOrders.Order order = wave.orders.get(machine);
     if (order == null) {
       addOrder(plan, wave, machine);
-    } else if (order.stored && !order.requestPending && now.steadyMs() >= order.retryAfterMs) {
-      order.requestPending = true;
+    } else if (order.beginRequestIfDue(now)) {
       plan.emit(new PlanEffect.Maintain(order.wave, machine, plan.epoch));
     }
   }
--- a/core/src/main/java/dev/toucanstall/core/plan/MaintenanceOrders.java
+++ b/core/src/main/java/dev/toucanstall/core/plan/MaintenanceOrders.java
@@ -26,43 +26,14 @@
   private static final long SUCCESSION_PAUSE_MS = 3_000;
 
   /** Order to maintain a machine for a wave, until its outcome is final. */
-  static final class Order {
+  static final class Order extends MachineOrder {
 
     /** Number of the wave. */
     final int wave;
 
-    final String machine;
-
-    /** Id of the backend server that runs on the machine as far as known, empty if none. */
-    final String server;
-
-    /**
-     * Whether the intent is stored, so that the next planner knows of it. The order is sent only
-     * then.
-     */
-    boolean stored;
-
-    /** Whether a request to the platform is under way. */
-    boolean requestPending;
-
-    /**
-     * Latest time at which an unanswered order may be carried out, in milliseconds of the monotonic
-     * clock, 0 if there is none.
-     */
-    long mayApplyUntilMs;
-
-    /** Earliest time of the next request, in milliseconds of the monotonic clock. */
-    long retryAfterMs;
-
     Order(int wave, String machine, String server) {
+      super(machine, server);
       this.wave = wave;
-      this.machine = machine;
-      this.server = server;
-    }
-
-    /** Returns whether an earlier request for this order may have been carried out. */
-    boolean mayHaveBegun() {
-      return mayApplyUntilMs > 0;
     }
   }
 
@@ -72,8 +43,7 @@
   /** Restores an order of an earlier planner, which may yet be carried out. */
   void restore(MachineMaintenance recorded, Now now) {
     Order order = new Order(recorded.wave(), recorded.machine(), recorded.server());
-    order.stored = true;
-    order.mayApplyUntilMs = now.steadyMs() + PoolRebalancing.MAX_ORDER_DELAY_MS;
+    order.restored(now);
     order.retryAfterMs = now.steadyMs() + SUCCESSION_PAUSE_MS;
     add(order);
   }
--- a/core/src/main/java/dev/toucanstall/core/plan/PoolRebalancing.java
+++ b/core/src/main/java/dev/toucanstall/core/plan/PoolRebalancing.java
@@ -29,9 +29,6 @@
   /** Pause before the next order for a machine that was or could not be moved, in milliseconds. */
   private static final long ORDER_PAUSE_MS = 2_000;
 
-  /** Maximum time for which an unanswered order may still be carried out, in milliseconds. */
-  static final long MAX_ORDER_DELAY_MS = 15_000;
-
   /**
    * Time for which a backend server must be idle before its machine is switched off, in
    * milliseconds.
@@ -238,8 +235,7 @@
 
   /** Sends an order if it is stored, not under way and not paused. */
   private static void sendIfDue(Plan plan, MachineMoves.Move move, Now now) {
-    if (move.stored && !move.requestPending && now.steadyMs() >= move.retryAfterMs) {
-      move.requestPending = true;
+    if (move.beginRequestIfDue(now)) {
       plan.emit(new PlanEffect.Move(move.machine, move.service, plan.epoch));
     }
   }
@@ -250,19 +246,18 @@
     if (move == null || !move.service.equals(event.service())) {
       return;
     }
-    move.requestPending = false;
-    move.retryAfterMs = now.steadyMs() + RETRY_PAUSE_MS;
+    move.requestEnded(RETRY_PAUSE_MS, now);
     plan.logEvent("machine-moved", "machine", move.machine, "result", event.result().name());
     switch (event.result()) {
       case BEGUN -> moveBegun(plan, move, now);
       case FENCED -> plan.emit(new PlanEffect.Resign("a machine has seen a higher fencing token"));
-      case MAYBE -> move.mayApplyUntilMs = now.steadyMs() + MAX_ORDER_DELAY_MS;
+      case MAYBE -> move.unanswered(now);
       case UNFIT -> {
         plan.moves.markUnfit(move.machine, move.service);
         abandon(plan, move, now);
       }
       default -> {
-        if (now.steadyMs() >= move.mayApplyUntilMs) {
+        if (!move.mayStillApply(now)) {
           abandon(plan, move, now);
         }
       }
@@ -301,7 +296,7 @@
   private static void close(Plan plan, MachineMoves.Move move, Now now) {
     plan.moves.open.remove(move.machine);
     plan.ledger.addRecord(plan.moves.openMovesRecord());
-    long pauseMs = move.mayApplyUntilMs > 0 ? MAX_ORDER_DELAY_MS : ORDER_PAUSE_MS;
+    long pauseMs = move.mayHaveBegun() ? MachineOrder.MAX_DELAY_MS : ORDER_PAUSE_MS;
     plan.moves.nextOrderMs.put(move.machine, now.steadyMs() + pauseMs);
   }
 }
