--- a/core/src/main/java/dev/toucanstall/core/plan/MachineOrder.java
+++ b/core/src/main/java/dev/toucanstall/core/plan/MachineOrder.java
@@ -9,6 +9,14 @@
   /** Longest time from sending an order until the platform carries it out, in milliseconds. */
   static final long MAX_DELAY_MS = 15_000;
 
+  /**
+   * Pause before the order of an earlier planner is sent again, in milliseconds. The store has
+   * fenced that planner before this one's term, so its permission ends within 2.6 s by a slow
+   * clock, and an order that it has sent by then arrives within the rest. It sends only orders
+   * whose intent it has stored: all others are this planner's alone and need no pause.
+   */
+  private static final long SUCCESSION_PAUSE_MS = 3_000;
+
   final String machine;
 
   /** Id of the backend server that runs on the machine as far as known, empty if none. */
@@ -38,6 +46,7 @@
   void restored(Now now) {
     stored = true;
     mayApplyUntilMs = now.steadyMs() + MAX_DELAY_MS;
+    retryAfterMs = now.steadyMs() + SUCCESSION_PAUSE_MS;
   }
 
   /** Records that a request had no answer, so that it may yet be carried out. */
--- a/core/src/main/java/dev/toucanstall/core/plan/MaintenanceOrders.java
+++ b/core/src/main/java/dev/toucanstall/core/plan/MaintenanceOrders.java
@@ -19,12 +19,6 @@
   /** Largest size of an order in its record, in bytes. */
   private static final int MAX_ORDER_BYTES = 2_000;
 
-  /**
-   * Pause before the order of an earlier planner is sent again, in milliseconds. That planner may
-   * send its own until its permission ends; the two would take turns at the machine.
-   */
-  private static final long SUCCESSION_PAUSE_MS = 3_000;
-
   /** Order to maintain a machine for a wave, until its outcome is final. */
   static final class Order extends MachineOrder {
 
@@ -44,7 +38,6 @@
   void restore(MachineMaintenance recorded, Now now) {
     Order order = new Order(recorded.wave(), recorded.machine(), recorded.server());
     order.restored(now);
-    order.retryAfterMs = now.steadyMs() + SUCCESSION_PAUSE_MS;
     add(order);
   }
 
--- a/core/src/test/java/dev/toucanstall/core/plan/PlanSimulation.java
+++ b/core/src/test/java/dev/toucanstall/core/plan/PlanSimulation.java
@@ -195,6 +195,9 @@
   /** Most moves that the platform accepts in a second, 0 for no limit. */
   int maxMovesPerSecond;
 
+  /** Whether the platform neither carries out nor answers orders to move machines. */
+  boolean dropsMoves;
+
   private final List<Long> recentMoveTimesMs = new ArrayList<>();
 
   /** Share of the answers that is lost, from 0 to 1. */
@@ -546,6 +549,14 @@
                   new PlanEvent.Moved(order.machine(), order.service(), MachineResult.NOT_DONE)));
       return;
     }
+    if (dropsMoves) {
+      after(
+          1_500,
+          () ->
+              replyTo.accept(
+                  new PlanEvent.Moved(order.machine(), order.service(), MachineResult.MAYBE)));
+      return;
+    }
     boolean answerLost = random.nextDouble() < answerLossRate;
     boolean carriedOutLate = answerLost && random.nextBoolean();
     after(
--- a/core/src/test/java/dev/toucanstall/core/plan/PoolRebalancingTest.java
+++ b/core/src/test/java/dev/toucanstall/core/plan/PoolRebalancingTest.java
@@ -8,7 +8,9 @@
 import dev.toucanstall.core.job.JobPhase;
 import dev.toucanstall.core.job.JobSpec;
 import dev.toucanstall.core.job.Resources;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Objects;
 import java.util.stream.IntStream;
 import java.util.stream.Stream;
@@ -207,4 +209,69 @@
       sim.run(100);
     }
   }
+
+  /**
+   * Guards against two planners that take turns at a machine: one that stood still repeats its
+   * unanswered order after its successor has sent one.
+   */
+  @Test
+  void nextPlannerRepeatsMoveOnceLastOneMayNot() {
+    for (long seed = 1; seed <= 20; seed++) {
+      PlanSimulation sim = twoPools(seed);
+      sim.dropsMoves = true;
+      while (sim.moveOrders.isEmpty()) {
+        sim.submit("j" + sim.now().steadyMs(), PlanSimulation.step(20, 1_000));
+        sim.run(100);
+      }
+      sim.run(1_550);
+      PlanSimulation.Planner first = Objects.requireNonNull(sim.planner);
+      first.keepBusy(1_900);
+      sim.run(1_700);
+      sim.electPlanner();
+      final int sentBefore = sim.moveOrders.size();
+      for (int i = 0; i < 100; i++) {
+        sim.run(10);
+        first.handle(new PlanEvent.Tick());
+      }
+      assertWithMessage("orders of the planner that stood still, seed %s", seed)
+          .that(sim.moveOrders.stream().skip(sentBefore).map(PlanEffect.Move::fencingToken))
+          .contains(first.plan.epoch);
+      sim.run(5_000);
+      sim.dropsMoves = false;
+      sim.run(15_000);
+      assertWithMessage("seed %s", seed).that(tokensAscendByMachine(sim)).isTrue();
+      assertWithMessage("seed %s", seed).that(poolSize(sim)).isGreaterThan(2L);
+      assertWithMessage("seed %s", seed).that(sim.violations).isEmpty();
+    }
+  }
+
+  /** Returns whether no machine was ordered with a lower fencing token after a higher one. */
+  private static boolean tokensAscendByMachine(PlanSimulation sim) {
+    Map<String, Long> highest = new HashMap<>();
+    return sim.moveOrders.stream()
+        .allMatch(o -> highest.merge(o.machine(), o.fencingToken(), Math::max) == o.fencingToken());
+  }
+
+  /** Guards against a surge that waits for its machines because the planner has changed. */
+  @Test
+  void nextPlannerOrdersOtherMachinesAtOnce() {
+    PlanSimulation sim = twoPools(1);
+    sim.dropsMoves = true;
+    sim.submit("first", PlanSimulation.step(20, 1_000), PlanSimulation.step(20, 1_000));
+    while (sim.moveOrders.isEmpty()) {
+      sim.submit("j" + sim.now().steadyMs(), PlanSimulation.step(20, 1_000));
+      sim.run(100);
+    }
+    Objects.requireNonNull(sim.planner).active = false;
+    final List<String> ordered = sim.moveOrders.stream().map(PlanEffect.Move::machine).toList();
+    final int sentBefore = sim.moveOrders.size();
+    sim.electPlanner();
+    for (int i = 0; i < 10; i++) {
+      sim.submit("k" + i, PlanSimulation.step(20, 1_000));
+    }
+    sim.run(400);
+    assertThat(sim.moveOrders.stream().skip(sentBefore).map(PlanEffect.Move::machine)).isNotEmpty();
+    assertThat(sim.moveOrders.stream().skip(sentBefore).map(PlanEffect.Move::machine))
+        .containsNoneIn(ordered);
+  }
 }
