--- a/core/src/main/java/dev/toucanstall/core/plan/Server.java
+++ b/core/src/main/java/dev/toucanstall/core/plan/Server.java
@@ -173,6 +173,9 @@
    * Takes over a later incarnation under the same id. Its finished runs are numbered anew, and
    * earlier runs have ended unless its lists show otherwise.
    *
+   * <p>Stops that a former incarnation has answered are sent again: starts that were on their way
+   * then may reach this one.
+   *
    * <p>Until it has seen the fencing token for this incarnation, orders to a former one may reach
    * it. Their lease ends on the former clock, so it may last as long as a backend server grants.
    */
@@ -191,6 +194,7 @@
     tasks.stream()
         .filter(t -> t.phase != TaskPhase.ORDERED)
         .forEach(t -> t.absenceConclusiveAfterMs = t.stopSent ? t.absenceConclusiveAfterMs : nowMs);
+    tasks.stream().filter(t -> t.stopSent).forEach(t -> t.stopUndelivered = true);
   }
 
   /** Returns whether finished runs have been applied that are not stored yet. */
