--- a/core/src/test/java/dev/toucanstall/core/plan/AcknowledgementAtRestartTest.java
+++ b/core/src/test/java/dev/toucanstall/core/plan/AcknowledgementAtRestartTest.java
@@ -19,7 +19,7 @@
   /** Time after a read of the list in which a restart is not listed soon, in milliseconds. */
   private static final long RECENTLY_LISTED_MS = 100;
 
-  /** Time after which a run has started and does not end soon, in milliseconds. */
+  /** Time from a submission to a moment shortly before the end of its run, in milliseconds. */
   private static final long SHORTLY_BEFORE_END_MS = 200;
 
   /** Time from a crash to the restart, in milliseconds. */
