--- a/core/src/main/java/dev/toucanstall/core/lease/LeaseBound.java
+++ b/core/src/main/java/dev/toucanstall/core/lease/LeaseBound.java
@@ -19,6 +19,9 @@
    */
   public static final long MAX_LEASE_MS = 10_000;
 
+  /** Longest time for which an order is on its way without being late, in milliseconds. */
+  private static final long MAX_TRANSIT_MS = 300;
+
   /** Longest time that a slow clock loses between two readings of it, in milliseconds. */
   private static final long CLOCK_DRIFT_MS = 200;
 
@@ -81,6 +84,16 @@
     return bound;
   }
 
+  /**
+   * Returns the time at which the leases on the clock of a former incarnation have expired.
+   *
+   * @param lastSentMs time after which no such lease was given
+   * @return the time
+   */
+  public static long formerClockEndMs(long lastSentMs) {
+    return lastSentMs + MAX_TRANSIT_MS + longestMs();
+  }
+
   private static long longestMs() {
     return ServerClock.longestDurationMs(MAX_LEASE_MS);
   }
@@ -111,7 +124,7 @@
   public void restarted(long nowMs) {
     suspectedSinceMs = 0;
     formerClockEndMs = Long.MAX_VALUE;
-    extend(nowMs + longestMs(), Source.FORMER_CLOCK);
+    extend(formerClockEndMs(nowMs), Source.FORMER_CLOCK);
   }
 
   /** Records that orders for a former incarnation under the id may reach the present one. */
--- a/core/src/main/java/dev/toucanstall/core/plan/Succession.java
+++ b/core/src/main/java/dev/toucanstall/core/plan/Succession.java
@@ -15,9 +15,6 @@
  */
 public record Succession(long confirmedMs, long leasesEndMs, long formerClockLeasesEndMs) {
 
-  /** Longest time for which an order is on its way without being late, in milliseconds. */
-  private static final long MAX_ORDER_TRANSIT_MS = 700;
-
   /**
    * Returns the change from a planner to the next.
    *
@@ -35,9 +32,7 @@
     return new Succession(
         confirmedMs,
         leasesEndMs(lastConfirmedMs, prolongedLeasesEndMs),
-        lastConfirmedMs
-            + MAX_ORDER_TRANSIT_MS
-            + ServerClock.longestDurationMs(LeaseBound.MAX_LEASE_MS));
+        LeaseBound.formerClockEndMs(lastConfirmedMs));
   }
 
   /**
