--- /dev/null
+++ b/core/src/test/java/dev/toucanstall/core/plan/LeaseOnFormerClockTest.java
@@ -0,0 +1,199 @@
+package dev.toucanstall.core.plan;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.util.Objects;
+import java.util.function.BooleanSupplier;
+import org.junit.jupiter.api.Tag;
+import org.junit.jupiter.api.Test;
+
+/**
+ * Tests leases that a later incarnation of a backend server grants on orders for a former one. Such
+ * a lease is the longest, as its expiry is a time on the former clock, and the backend server is
+ * cut off before the planner has read any list of the later incarnation.
+ */
+final class LeaseOnFormerClockTest {
+
+  /** Time that a backend server is up before its later incarnation starts, in milliseconds. */
+  private static final long UPTIME_MS = 20_000;
+
+  /** Time between two reads of the list of servers, in milliseconds. */
+  private static final long LIST_INTERVAL_MS = 500;
+
+  /** Longest time until a condition holds, in milliseconds. */
+  private static final int MAX_WAIT_MS = 5_000;
+
+  /** Time in which all leases of any planner expire, in milliseconds. */
+  private static final long ALL_LEASES_MS = 14_000;
+
+  private final PlanSimulation sim = new PlanSimulation(1);
+
+  private void addServerAndPlanner() {
+    sim.taskMs = 60_000;
+    sim.addServer("w1", 10_000);
+    sim.electPlanner();
+    sim.run(UPTIME_MS);
+  }
+
+  /** Lets time pass until a condition holds; fails if it doesn't within some seconds. */
+  private void runUntil(BooleanSupplier condition) {
+    for (int i = 0; i < MAX_WAIT_MS && !condition.getAsBoolean(); i++) {
+      sim.run(1);
+    }
+    assertThat(condition.getAsBoolean()).isTrue();
+  }
+
+  /** Lets time pass until an order of the planner has been held back. */
+  private void runUntilHeldBack() {
+    runUntil(() -> !sim.heldBack.isEmpty());
+    sim.holdsBack = order -> false;
+  }
+
+  /** Lets time pass until the list of servers was read some time ago, in milliseconds. */
+  private void runUntilListIsAged(long ageMs) {
+    runUntil(() -> sim.now().steadyMs() % LIST_INTERVAL_MS == ageMs);
+  }
+
+  /** Lets time pass until a renewal has just been sent that waits for the end of a run. */
+  private void runUntilRenewalWaits() {
+    sim.renewalsWait = true;
+    sim.submit("waiting", PlanSimulation.step(1, 1_000));
+    sim.run(3_000);
+    int seen = sim.effects.size();
+    runUntil(() -> sim.effects.stream().skip(seen).anyMatch(LeaseOnFormerClockTest::waits));
+    sim.run(10);
+  }
+
+  private static boolean waits(PlanEffect effect) {
+    return effect instanceof PlanEffect.Hold renewal && renewal.waitMs() > 0;
+  }
+
+  private static boolean givesLease(PlanEffect effect) {
+    return effect instanceof PlanEffect.Hold renewal && renewal.leaseExpiryMs() > 0;
+  }
+
+  /** Ends "w1" without a word, so that calls to it get no answer. */
+  private SimulatedServer crashSilently() {
+    SimulatedServer former = sim.requireServer("w1");
+    former.crash();
+    former.reachable = false;
+    return former;
+  }
+
+  /** Starts "w1" again; no entry shows its later incarnation. */
+  private SimulatedServer restartUnlisted() {
+    SimulatedServer later = sim.restartServer(sim.requireServer("w1"));
+    later.reachesStore = false;
+    later.lastReportMs = 0;
+    return later;
+  }
+
+  private void runUntilRunning(SimulatedServer server, int count) {
+    runUntil(() -> server.running.size() >= count);
+  }
+
+  /** Cuts a backend server off for good and adds another one, to which its tasks may move. */
+  private SimulatedServer replace(SimulatedServer server) {
+    server.reachable = false;
+    server.reachesStore = false;
+    return sim.addServer("w2", 10_000);
+  }
+
+  /**
+   * Guards against two runs of a task at once within one term: a start is on its way while its
+   * backend server starts again, and the answer is lost, so that the planner counts the lease of a
+   * start on a known clock.
+   */
+  @Test
+  @Tag("known-red")
+  void leaseOfStartOnItsWayAtRestartIsAwaited() {
+    addServerAndPlanner();
+    sim.holdsBack = order -> order instanceof PlanEffect.Start;
+    sim.submit("j", PlanSimulation.step(1, 1_000));
+    runUntilHeldBack();
+    crashSilently();
+    final SimulatedServer later = restartUnlisted();
+    sim.deliverOnItsWay();
+    assertThat(later.running).hasSize(1);
+    final SimulatedServer other = replace(later);
+    sim.run(ALL_LEASES_MS);
+    assertThat(sim.violations).isEmpty();
+    assertThat(other.running).hasSize(1);
+  }
+
+  /**
+   * Guards against two runs of a task at once within one term: a start that got no answer while no
+   * incarnation ran is sent again, reaches the later one, and the second answer is lost.
+   */
+  @Test
+  @Tag("known-red")
+  void leaseOfRepeatedStartAfterRestartIsAwaited() {
+    addServerAndPlanner();
+    runUntilRenewalWaits();
+    runUntilListIsAged(380);
+    crashSilently();
+    sim.submit("j", PlanSimulation.step(1, 1_000));
+    sim.run(650);
+    final SimulatedServer later = restartUnlisted();
+    later.dropsStartAnswers = true;
+    runUntilRunning(later, 1);
+    final SimulatedServer other = replace(later);
+    sim.run(ALL_LEASES_MS);
+    assertThat(sim.violations).isEmpty();
+    assertThat(other.running).hasSize(2);
+  }
+
+  /**
+   * Guards against two runs of a task at once within one term: while a restart is suspected, the
+   * planner sends a further start on the former clock, whose answer is lost, and counts from the
+   * suspicion.
+   */
+  @Test
+  @Tag("known-red")
+  void leaseOfStartWhileRestartIsSuspectedIsAwaited() {
+    addServerAndPlanner();
+    runUntilRenewalWaits();
+    runUntilListIsAged(20);
+    crashSilently();
+    final SimulatedServer later = restartUnlisted();
+    sim.submit("j", PlanSimulation.step(1, 1_000));
+    sim.run(400);
+    assertThat(later.running).hasSize(1);
+    later.dropsStartAnswers = true;
+    sim.submit("k", PlanSimulation.step(1, 1_000));
+    runUntilRunning(later, 2);
+    final SimulatedServer other = replace(later);
+    sim.run(ALL_LEASES_MS);
+    assertThat(sim.violations).isEmpty();
+    assertThat(other.running).hasSize(3);
+  }
+
+  /**
+   * Guards against two runs of a task at once after a change of planners: a renewal that was on its
+   * way at the restart prolongs the lease of runs that the planner has started on the later
+   * incarnation, and the next planner doesn't know of it.
+   */
+  @Test
+  @Tag("known-red")
+  void nextPlannerAwaitsLeaseOfRenewalOnItsWayAtRestart() {
+    addServerAndPlanner();
+    sim.submit("j", PlanSimulation.step(2, 1_000));
+    sim.run(2_000);
+    sim.holdsBack = LeaseOnFormerClockTest::givesLease;
+    runUntilHeldBack();
+    sim.requireServer("w1").crash();
+    final SimulatedServer later = sim.restartServer(sim.requireServer("w1"));
+    sim.deliverOnItsWay();
+    runUntilRunning(later, 2);
+    sim.run(100);
+    final long confirmedMs = sim.now().steadyMs();
+    Objects.requireNonNull(sim.planner).active = false;
+    sim.run(300);
+    final SimulatedServer other = replace(later);
+    sim.run(300);
+    sim.electPlanner(Plan.predecessorLeasesEndMs(confirmedMs, 0));
+    sim.run(ALL_LEASES_MS);
+    assertThat(sim.violations).isEmpty();
+    assertThat(other.running).hasSize(2);
+  }
+}
