--- a/core/src/main/java/dev/toucanstall/core/plan/CallRules.java
+++ b/core/src/main/java/dev/toucanstall/core/plan/CallRules.java
@@ -128,12 +128,12 @@
     answerOnceStored(plan, ticket, new JobAnswer.Cancelled());
   }
 
-  /** Counts the jobs of a queue that have not begun and have no start time. */
+  /** Counts the jobs of a queue that no backend server has begun and that have no start time. */
   private static int countPending(Plan plan, String queue) {
     return (int)
         plan.openByService.values().stream()
             .flatMap(jobs -> jobs.stream())
-            .filter(job -> job.queue.equals(queue) && job.phase == JobPhase.PENDING)
+            .filter(job -> job.queue.equals(queue) && !job.phase.ended() && !job.hasBegun())
             .filter(job -> !job.spec.hasStartTime())
             .count();
   }
--- a/core/src/main/java/dev/toucanstall/core/plan/Job.java
+++ b/core/src/main/java/dev/toucanstall/core/plan/Job.java
@@ -69,6 +69,9 @@
   /** Parts in which the progress is stored. */
   final ProgressParts parts = new ProgressParts();
 
+  /** Whether a backend server is known to have begun a task; a start that was ordered may fail. */
+  private boolean begun;
+
   private int remainingTasks;
 
   /** Counters by occurrence and step. */
@@ -143,6 +146,14 @@
     }
   }
 
+  /** Returns whether a backend server is known to have begun a task, now or earlier. */
+  boolean hasBegun() {
+    if (!begun && phase != JobPhase.PENDING) {
+      begun = tasks().anyMatch(task -> task.failures > 0);
+    }
+    return begun;
+  }
+
   StepCounts counts(int occurrence, int step) {
     return counts.get(occurrence).get(step);
   }
@@ -153,6 +164,7 @@
 
   /** Updates the counters after a task has changed its phase. */
   void taskPhaseChanged(TaskPhase from, TaskPhase to) {
+    begun |= to == TaskPhase.RUNNING || to == TaskPhase.DONE;
     remainingTasks += (from == TaskPhase.DONE ? 1 : 0) - (to == TaskPhase.DONE ? 1 : 0);
     boolean readinessMayChange =
         from == TaskPhase.WAITING
