--- a/core/src/main/java/dev/toucanstall/core/plan/LeaseRenewalRules.java
+++ b/core/src/main/java/dev/toucanstall/core/plan/LeaseRenewalRules.java
@@ -147,6 +147,11 @@
       return;
     }
     Task task = found.get();
+    if (task.step.lasting()
+        && !hasServed(task)
+        && active.percentDone() >= Evacuation.SERVING_PERCENT) {
+      server.consecutiveFailures = 0;
+    }
     task.percentDone = active.percentDone();
     if (!active.checkpoint().isEmpty()) {
       task.setCheckpoint(active.checkpoint());
@@ -269,7 +274,9 @@
   private static void runFailed(Plan plan, Server server, Task task, long sentMs, Now now) {
     task.failures++;
     task.avoidedServers.add(server.entry.id());
-    countFailure(plan, server, now);
+    if (!hasServed(task)) {
+      countFailure(plan, server, now);
+    }
     plan.releaseEnded(task, endListed(sentMs), now);
     Queue queue = plan.queue(task.job);
     int maxFailures = queue == null ? DEFAULT_MAX_FAILURES : queue.maxFailures();
@@ -287,6 +294,14 @@
     }
   }
 
+  /**
+   * Returns whether the run of a lasting task has served. It never ends as done, so serving is what
+   * shows that its backend server is sound.
+   */
+  private static boolean hasServed(Task task) {
+    return task.step.lasting() && task.percentDone >= Evacuation.SERVING_PERCENT;
+  }
+
   private static RunEvidence endListed(long sentMs) {
     return new RunEvidence(RunEvidence.Kind.END_LISTED, sentMs);
   }
