--- a/core/src/test/java/dev/toucanstall/core/plan/LeaseBoundAfterRestartTest.java
+++ b/core/src/test/java/dev/toucanstall/core/plan/LeaseBoundAfterRestartTest.java
@@ -51,6 +51,6 @@
     assertThat(known.entry.startTimeMs()).isEqualTo(later.startTimeMs);
     sim.heldBack.subList(1, sim.heldBack.size()).clear();
     sim.deliverOnItsWay();
-    assertThat(known.leaseBoundMs()).isAtLeast(later.leaseExpiryMs);
+    assertThat(known.leases.expiredMs()).isAtLeast(later.leaseExpiryMs);
   }
 }
