Tests: cases of former clocks that hold now; more seeds for planners without tokens

LeaseOnFormerClockTest: three of four cases failed before and hold now; the fourth stays in KNOWN-RED.txt. leaseOfStartWhileRestartIsSuspected... holds lists back, as the restart would be known at once otherwise; in this form it fails on the code before, too. PlanRandomTest: a planner without tokens of incarnations sends fewer orders to a later one by accident now, so 200 seeds showed no violation any more; it must show one within 1,000.

--- a/core/src/test/java/dev/toucanstall/core/plan/LeaseOnFormerClockTest.java
+++ b/core/src/test/java/dev/toucanstall/core/plan/LeaseOnFormerClockTest.java
@@ -126,7 +126,6 @@
    * incarnation ran is sent again, reaches the later one, and the second answer is lost.
    */
   @Test
-  @Tag("known-red")
   void leaseOfRepeatedStartAfterRestartIsAwaited() {
     addServerAndPlanner();
     runUntilRenewalWaits();
@@ -149,7 +148,6 @@
    * suspicion.
    */
   @Test
-  @Tag("known-red")
   void leaseOfStartWhileRestartIsSuspectedIsAwaited() {
     addServerAndPlanner();
     runUntilRenewalWaits();
@@ -157,12 +155,14 @@
     crashSilently();
     final SimulatedServer later = restartUnlisted();
     sim.submit("j", PlanSimulation.step(1, 1_000));
+    sim.holdsBack = order -> order instanceof PlanEffect.Hold;
     sim.run(400);
     assertThat(later.running).hasSize(1);
     later.dropsStartAnswers = true;
     sim.submit("k", PlanSimulation.step(1, 1_000));
-    runUntilRunning(later, 2);
+    sim.run(200);
     final SimulatedServer other = replace(later);
+    sim.holdsBack = order -> false;
     sim.run(ALL_LEASES_MS);
     assertThat(sim.violations).isEmpty();
     assertThat(other.running).hasSize(3);
@@ -174,7 +174,6 @@
    * incarnation, and the next planner doesn't know of it.
    */
   @Test
-  @Tag("known-red")
   void nextPlannerAwaitsLeaseOfRenewalOnItsWayAtRestart() {
     addServerAndPlanner();
     sim.submit("j", PlanSimulation.step(2, 1_000));
@@ -191,7 +190,7 @@
     sim.run(300);
     final SimulatedServer other = replace(later);
     sim.run(300);
-    sim.electPlanner(Plan.predecessorLeasesEndMs(confirmedMs, 0));
+    sim.electPlanner(Succession.of(sim.now().steadyMs(), confirmedMs, 0));
     sim.run(ALL_LEASES_MS);
     assertThat(sim.violations).isEmpty();
     assertThat(other.running).hasSize(2);
--- a/core/src/test/java/dev/toucanstall/core/plan/PlanRandomTest.java
+++ b/core/src/test/java/dev/toucanstall/core/plan/PlanRandomTest.java
@@ -22,7 +22,7 @@
   private static final int SEED_COUNT = Integer.getInteger("random.runs", 25);
 
   /** Seeds of which one must show a violation by planners that are broken on purpose. */
-  private static final int BROKEN_SEED_COUNT = 200;
+  private static final int BROKEN_SEED_COUNT = 1_000;
 
   private static final long FIRST_SEED = Long.getLong("random.seed", 1);
 
