Soak: restart under the same id, kill of the planner and cut as a plan of its own

The plan of faults crashed, killed and cut at random: a cut seldom met a server that had just started again under its id. The plans of existing seeds stay as they were.

--- a/testbed/src/test/java/dev/toucanstall/testbed/soak/Fault.java
+++ b/testbed/src/test/java/dev/toucanstall/testbed/soak/Fault.java
@@ -28,6 +28,12 @@
   record CutServers(LinkMode mode, double share, Scope scope, boolean alsoFromStore, long cutMs)
       implements Fault {}
 
+  /**
+   * Links of all entry instances to the backend servers that have started a short time ago are cut;
+   * the servers run on and don't report.
+   */
+  record CutStarted(LinkMode mode, long upMs, long cutMs) implements Fault {}
+
   /** Backend servers end and start again, under the same id or as new ones. */
   record CrashServers(int count, boolean sameId, boolean silent, long downMs) implements Fault {}
 
--- a/testbed/src/test/java/dev/toucanstall/testbed/soak/FaultPlan.java
+++ b/testbed/src/test/java/dev/toucanstall/testbed/soak/FaultPlan.java
@@ -2,6 +2,7 @@
 
 import dev.toucanstall.testbed.soak.Fault.CrashServers;
 import dev.toucanstall.testbed.soak.Fault.CutServers;
+import dev.toucanstall.testbed.soak.Fault.CutStarted;
 import dev.toucanstall.testbed.soak.Fault.CutStore;
 import dev.toucanstall.testbed.soak.Fault.FreezePlanner;
 import dev.toucanstall.testbed.soak.Fault.HoldOrders;
@@ -23,6 +24,9 @@
   private static final long MIN_SERIES_MS = 5_000;
   private static final long MAX_SERIES_MS = 12_000;
 
+  /** Time before each restart, longer than any lease. */
+  private static final long MIN_UPTIME_MS = 11_000;
+
   private FaultPlan() {}
 
   /**
@@ -56,6 +60,37 @@
     return steps;
   }
 
+  /**
+   * Returns the plan of restarts for a seed, by time: in each series, backend servers start again
+   * under their ids, the planner is killed soon after, and these servers are cut off.
+   *
+   * @param seed the seed
+   * @param lengthMs time in which faults begin, in milliseconds
+   */
+  static List<Step> ofRestarts(long seed, long lengthMs) {
+    Random random = new Random(seed);
+    List<Step> steps = new ArrayList<>();
+    for (long at = MIN_UPTIME_MS;
+        at < lengthMs;
+        at += MIN_UPTIME_MS + between(random, MIN_SERIES_MS, MAX_SERIES_MS)) {
+      addRestart(steps, at, random);
+    }
+    steps.removeIf(step -> step.atMs() >= lengthMs);
+    steps.sort(Comparator.comparingLong(Step::atMs));
+    return steps;
+  }
+
+  private static void addRestart(List<Step> steps, long at, Random random) {
+    long down = between(random, 50, 700);
+    steps.add(new Step(at, new CrashServers(3, true, random.nextBoolean(), down)));
+    long lossAt = at + down + between(random, 200, 3_000);
+    steps.add(new Step(lossAt, new KillPlanner(between(random, 3_000, 6_000))));
+    long cutAt = lossAt + between(random, 0, 1_000);
+    LinkMode mode = oneOf(random, List.of(LinkMode.SILENT, LinkMode.RESET, LinkMode.REFUSE));
+    long cut = between(random, 6_000, 12_000);
+    steps.add(new Step(cutAt, new CutStarted(mode, cutAt - at, cut)));
+  }
+
   private static long between(Random random, long from, long to) {
     return random.nextLong(from, to);
   }
--- a/testbed/src/test/java/dev/toucanstall/testbed/soak/FaultRules.java
+++ b/testbed/src/test/java/dev/toucanstall/testbed/soak/FaultRules.java
@@ -44,6 +44,7 @@
       case Fault.FreezePlanner freeze ->
           takeAway(state, at, freeze.frozenMs(), Signal.FREEZE, Signal.THAW, effects);
       case CutServers cut -> cutServers(state, at, cut, effects);
+      case Fault.CutStarted cut -> cutStarted(state, at, cut, effects);
       case CrashServers crash ->
           some(state, upServers(state), crash.count())
               .forEach(server -> crash(state, server, at, crash, effects));
@@ -134,8 +135,25 @@
 
   private static void cutServers(
       SoakState state, long at, CutServers cut, List<SoakEffect> effects) {
+    cutAll(state, at, share(state, upServers(state), cut.share()), cut, effects);
+  }
+
+  private static void cutStarted(
+      SoakState state, long at, Fault.CutStarted cut, List<SoakEffect> effects) {
+    List<ServerState> started =
+        upServers(state).stream().filter(server -> at - server.startedAt <= cut.upMs()).toList();
+    CutServers whole = new CutServers(cut.mode(), 1, Scope.ALL, true, cut.cutMs());
+    cutAll(state, at, started, whole, effects);
+  }
+
+  private static void cutAll(
+      SoakState state,
+      long at,
+      List<ServerState> servers,
+      CutServers cut,
+      List<SoakEffect> effects) {
     List<Integer> entries = entries(state, cut.scope());
-    for (ServerState server : share(state, upServers(state), cut.share())) {
+    for (ServerState server : servers) {
       if (cut.alsoFromStore()) {
         server.cutFromStoreUntil = Math.max(server.cutFromStoreUntil, at + cut.cutMs());
       }
--- a/testbed/src/test/java/dev/toucanstall/testbed/soak/SoakMain.java
+++ b/testbed/src/test/java/dev/toucanstall/testbed/soak/SoakMain.java
@@ -46,6 +46,11 @@
       description = "Drop orders that would be carried out late by a later incarnation")
   private boolean dropsLateOrders;
 
+  @Parameter(
+      names = "--restarts",
+      description = "Restart servers under their ids, kill the planner and cut these servers off")
+  private boolean restarts;
+
   @Parameter(names = "--folder", description = "Folder in which the folder of each soak is made")
   private String parent = System.getProperty("java.io.tmpdir");
 
@@ -99,7 +104,8 @@
             settleSeconds * MILLIS,
             java,
             classPath,
-            !dropsLateOrders);
+            !dropsLateOrders,
+            length -> restarts ? FaultPlan.ofRestarts(seed, length) : FaultPlan.of(seed, length));
     try (SoakRun run = new SoakRun(options, folder)) {
       return run.play();
     }
--- a/testbed/src/test/java/dev/toucanstall/testbed/soak/SoakRun.java
+++ b/testbed/src/test/java/dev/toucanstall/testbed/soak/SoakRun.java
@@ -64,6 +64,7 @@
    * @param classPath class path of the entry processes
    * @param lateOrdersReachNextIncarnation whether an order that is carried out late may reach a
    *     later incarnation under the same id
+   * @param plan returns the faults by the time in which they begin, in milliseconds
    */
   record Options(
       long seed,
@@ -73,7 +74,8 @@
       long settleMillis,
       String java,
       String classPath,
-      boolean lateOrdersReachNextIncarnation) {}
+      boolean lateOrdersReachNextIncarnation,
+      LongFunction<List<FaultPlan.Step>> plan) {}
 
   /**
    * Starts the stand-ins and writes the files of the entry processes.
@@ -208,7 +210,7 @@
     clients.start(CLIENTS, options.seed());
     Thread.sleep(WARM_UP_MILLIS);
     long begin = millis();
-    for (FaultPlan.Step step : FaultPlan.of(options.seed(), options.faultMillis())) {
+    for (FaultPlan.Step step : options.plan().apply(options.faultMillis())) {
       long delay = begin + step.atMs() - millis();
       postLater(new SoakEvent.FaultBegins(begin + step.atMs(), step.fault()), delay);
     }
--- a/testbed/src/test/java/dev/toucanstall/testbed/soak/SoakTest.java
+++ b/testbed/src/test/java/dev/toucanstall/testbed/soak/SoakTest.java
@@ -32,7 +32,8 @@
             SETTLE_MILLIS,
             Path.of(System.getProperty("java.home"), "bin", "java").toString(),
             System.getProperty("java.class.path"),
-            false);
+            false,
+            length -> FaultPlan.of(SEED, length));
     try (SoakRun run = new SoakRun(options, folder)) {
       assertThat(run.play()).isEmpty();
     }
