Forget no lease on a former clock too early, and no backend server too late

A backend server that left before its first answer stayed in the record for the rest of the term; one without tasks was dropped from it by the next planner (SuccessionAfterRestartTest). While the incarnation is in doubt, nothing is acknowledged, an acknowledgement in a late answer is not sent twice, the lists don't wait for appends, and a repeated start waits for the next lists instead of being stopped.

--- a/core/src/main/java/dev/toucanstall/core/lease/LeaseBound.java
+++ b/core/src/main/java/dev/toucanstall/core/lease/LeaseBound.java
@@ -199,7 +199,9 @@
    * @return the time
    */
   public long expiredMs() {
-    return isRestartSuspected() ? Math.max(expiredMs, suspectedSinceMs + longestMs()) : expiredMs;
+    return isRestartSuspected()
+        ? Math.max(expiredMs, formerClockEndMs(suspectedSinceMs))
+        : expiredMs;
   }
 
   /**
--- a/core/src/main/java/dev/toucanstall/core/plan/FormerClocks.java
+++ b/core/src/main/java/dev/toucanstall/core/plan/FormerClocks.java
@@ -4,6 +4,7 @@
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Set;
+import java.util.stream.Stream;
 
 /**
  * Backend servers that may hold leases on the clock of a former incarnation. Owned by the control
@@ -16,23 +17,32 @@
 
   private final Set<Server> servers = new LinkedHashSet<>();
 
-  /** Ids that an earlier planner has stored. */
+  /** Ids that an earlier planner has stored, until the leases that it gave have expired. */
   private Set<String> restoredIds = Set.of();
 
+  /** Time at which those leases have expired, in milliseconds of the monotonic clock. */
+  private long restoredUntilMs;
+
   /** Ids that were stored last. */
   private List<String> storedIds = List.of();
 
   /** Whether the ids may differ from those that were stored last. */
   private boolean changed;
 
-  /** Takes over what an earlier planner has stored. */
-  void restore(JobRecord.FormerClockLeases record) {
+  /**
+   * Takes over what an earlier planner has stored.
+   *
+   * @param record the ids
+   * @param untilMs time at which the leases have expired that earlier planners gave on a former
+   *     clock, in milliseconds of the monotonic clock
+   */
+  void restore(JobRecord.FormerClockLeases record, long untilMs) {
     storedIds = record.servers();
     restoredIds = Set.copyOf(storedIds);
-    changed = true;
+    restoredUntilMs = untilMs;
   }
 
-  /** Returns whether an earlier planner has stored the id of a backend server. */
+  /** Returns whether a backend server may hold such leases of an earlier planner. */
   boolean isRestored(String id) {
     return restoredIds.contains(id);
   }
@@ -44,9 +54,20 @@
     }
   }
 
-  /** Drops the backend servers whose leases on a former clock have expired. */
+  /**
+   * Drops the backend servers that are forgotten, and those whose leases on a former clock have
+   * expired.
+   */
   void dropExpired(Now now) {
-    changed |= servers.removeIf(server -> !server.leases.mayBeOnFormerClock(now.steadyMs()));
+    changed |=
+        servers.removeIf(
+            server ->
+                server.containingIndex == null
+                    || !server.leases.mayBeOnFormerClock(now.steadyMs()));
+    if (!restoredIds.isEmpty() && now.steadyMs() >= restoredUntilMs) {
+      restoredIds = Set.of();
+      changed = true;
+    }
   }
 
   /** Has the ids stored with the next append if they have changed. */
@@ -55,7 +76,11 @@
       return;
     }
     changed = false;
-    List<String> ids = servers.stream().map(server -> server.entry.id()).distinct().toList();
+    List<String> ids =
+        Stream.concat(restoredIds.stream(), servers.stream().map(server -> server.entry.id()))
+            .distinct()
+            .sorted()
+            .toList();
     if (!ids.equals(storedIds)) {
       storedIds = ids;
       ledger.addRecord(new JobRecord.FormerClockLeases(ids));
--- a/core/src/main/java/dev/toucanstall/core/plan/LeaseRenewalRules.java
+++ b/core/src/main/java/dev/toucanstall/core/plan/LeaseRenewalRules.java
@@ -44,10 +44,17 @@
     if (server == null || server.entry.startTimeMs() != held.serverStartTimeMs()) {
       return;
     }
+    if (held.result() instanceof LeaseRenewalResult.Listed listed
+        && listed.serverStartTimeMs() == held.serverStartTimeMs()) {
+      server.acknowledgedCompletion =
+          Math.max(server.acknowledgedCompletion, held.acknowledgedCompletion());
+    }
     if (held.sentMs() < server.listRequestedMs) {
       return;
     }
-    server.renewalPending = false;
+    if (held.sentMs() >= server.renewalSentMs) {
+      server.renewalPending = false;
+    }
     server.markForRenewal();
     switch (held.result()) {
       case LeaseRenewalResult.Listed listed
@@ -105,8 +112,6 @@
     server.listRequestedMs = held.sentMs();
     server.unresponsiveSinceMs = 0;
     server.clock.read(listed.serverClockMs(), now.steadyMs());
-    server.acknowledgedCompletion =
-        Math.max(server.acknowledgedCompletion, held.acknowledgedCompletion());
     Set<TaskKey> listedTasks = new HashSet<>();
     for (FinishedRun finished : listed.finished()) {
       listedTasks.add(finished.task());
--- a/core/src/main/java/dev/toucanstall/core/plan/OrderRules.java
+++ b/core/src/main/java/dev/toucanstall/core/plan/OrderRules.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.Consumer;
 import java.util.function.Predicate;
 
 /** Decides when starts and stops of runs are sent, and on their results. */
@@ -29,7 +30,7 @@
    * not allowed then.
    */
   static void startOnceStored(Plan plan, Task task) {
-    sendOnceStored(plan, task, () -> plan.release(task));
+    sendOnceStored(plan, task, now -> plan.release(task));
   }
 
   /**
@@ -37,7 +38,7 @@
    * start is not allowed then. Does neither if the run no longer waits for its start. The start
    * waits further while as many orders are under way as may be.
    */
-  private static void sendOnceStored(Plan plan, Task task, Runnable fallback) {
+  private static void sendOnceStored(Plan plan, Task task, Consumer<Now> fallback) {
     long run = task.run;
     Server server = task.server;
     if (server == null) {
@@ -52,7 +53,7 @@
 
   /** Sends a start whose turn has come, and returns whether it was sent. */
   private static boolean sendIfAwaited(
-      Plan plan, Server server, Task task, long run, Runnable fallback, Now now) {
+      Plan plan, Server server, Task task, long run, Consumer<Now> fallback, Now now) {
     plan.orders.startSettled(server);
     if (plan.orders.hasDrained(server)) {
       plan.markForPlacement(server);
@@ -64,7 +65,7 @@
       sendStart(plan, server, task, now);
       return true;
     }
-    fallback.run();
+    fallback.accept(now);
     return false;
   }
 
@@ -356,7 +357,20 @@
    */
   private static void resendOnceConfirmed(Plan plan, Task task) {
     plan.ledger.changed(task.job);
-    sendOnceStored(plan, task, () -> stopOnceStored(plan, task));
+    sendOnceStored(plan, task, now -> resendNotAllowed(plan, task, now));
+  }
+
+  /**
+   * Handles a repeated start that is not allowed: leaves it to the next lists if the incarnation is
+   * in doubt again, else stops the run.
+   */
+  private static void resendNotAllowed(Plan plan, Task task, Now now) {
+    Server server = task.server;
+    if (server != null && server.isIncarnationInDoubt()) {
+      task.startGivenUpMs = now.steadyMs();
+    } else {
+      stopOnceStored(plan, task);
+    }
   }
 
   /**
--- a/core/src/main/java/dev/toucanstall/core/plan/Recovery.java
+++ b/core/src/main/java/dev/toucanstall/core/plan/Recovery.java
@@ -31,7 +31,7 @@
     records.stream()
         .filter(JobRecord.FormerClockLeases.class::isInstance)
         .map(JobRecord.FormerClockLeases.class::cast)
-        .forEach(plan.formerClocks::restore);
+        .forEach(r -> plan.formerClocks.restore(r, plan.succession.formerClockLeasesEndMs()));
     for (JobRecord record : records) {
       switch (record) {
         case JobRecord.Submitted submitted -> JobRules.add(plan, new Job(plan, submitted));
--- a/core/src/main/java/dev/toucanstall/core/plan/ServerRules.java
+++ b/core/src/main/java/dev/toucanstall/core/plan/ServerRules.java
@@ -161,7 +161,7 @@
    * been withheld for long: starts that take long to be answered must not withhold it for ever.
    */
   private static boolean mayAcknowledge(Server server, Now now) {
-    if (server.leases.isRestartSuspected()) {
+    if (server.isIncarnationInDoubt()) {
       return false;
     }
     boolean withheldForLong =
@@ -280,6 +280,7 @@
       return false;
     }
     if (server.hasUnstoredCompletions()
+        && !server.isIncarnationInDoubt()
         && now.steadyMs() - server.renewalSentMs < MAX_RENEWAL_INTERVAL_MS) {
       return false;
     }
--- a/core/src/test/java/dev/toucanstall/core/plan/LeaseOnFormerClockTest.java
+++ b/core/src/test/java/dev/toucanstall/core/plan/LeaseOnFormerClockTest.java
@@ -195,4 +195,30 @@
     assertThat(sim.violations).isEmpty();
     assertThat(other.running).hasSize(2);
   }
+
+  /**
+   * Guards against two runs of a task at once after a change of planners: the lost planner never
+   * learned which incarnation carried out its start.
+   */
+  @Test
+  @Tag("known-red")
+  void nextPlannerAwaitsLeaseOfUnansweredStartAtRestart() {
+    addServerAndPlanner();
+    sim.holdsBack = order -> order instanceof PlanEffect.Start;
+    sim.submit("j", PlanSimulation.step(1, 1_000));
+    runUntilHeldBack();
+    crashSilently();
+    final SimulatedServer later = restartUnlisted();
+    sim.deliverOnItsWay();
+    assertThat(later.running).hasSize(1);
+    final long confirmedMs = sim.now().steadyMs();
+    Objects.requireNonNull(sim.planner).active = false;
+    final SimulatedServer other = replace(later);
+    sim.run(600);
+    sim.holdsBack = order -> false;
+    sim.electPlanner(Succession.of(sim.now().steadyMs(), confirmedMs, 0));
+    sim.run(ALL_LEASES_MS);
+    assertThat(sim.violations).isEmpty();
+    assertThat(other.running).hasSize(1);
+  }
 }
--- a/core/src/test/java/dev/toucanstall/core/plan/SuccessionAfterRestartTest.java
+++ b/core/src/test/java/dev/toucanstall/core/plan/SuccessionAfterRestartTest.java
@@ -124,6 +124,64 @@
     assertThat(serversOnFormerClocks()).isEmpty();
   }
 
+  /**
+   * Guards against two runs of a task at once: the lost planner has learned of the later
+   * incarnation, and the store has not taken what it learned.
+   */
+  @Test
+  void nextPlannerAwaitsLeaseThatLostPlannerCouldNotStore() {
+    final SimulatedServer later = startOnLaterIncarnation();
+    sim.storeAvailable = false;
+    final long confirmedMs = sim.now().steadyMs();
+    sim.run(PLANNER_LOST_AFTER_MS);
+    losePlanner();
+    later.reachable = false;
+    sim.storeAvailable = true;
+    final SimulatedServer other = sim.addServer("w2", 10_000);
+    sim.run(ELECTED_AFTER_MS);
+    sim.electPlanner(Succession.of(sim.now().steadyMs(), confirmedMs, 0));
+    sim.run(ALL_LEASES_MS);
+    assertThat(sim.violations).isEmpty();
+    assertThat(other.running).hasSize(2);
+  }
+
+  /** Restarts "w1", whose later incarnation the planner knows from its entry. */
+  private SimulatedServer restartIdleServer() {
+    sim.addServer("w1", 10_000);
+    sim.electPlanner();
+    sim.run(UPTIME_MS);
+    sim.requireServer("w1").crash();
+    return sim.restartServer(sim.requireServer("w1"));
+  }
+
+  /** Guards against a record that names a backend server long after it has left. */
+  @Test
+  void serverThatLeavesBeforeItsFirstAnswerIsForgotten() {
+    SimulatedServer later = restartIdleServer();
+    later.reachable = false;
+    sim.run(1_000);
+    assertThat(serversOnFormerClocks()).containsExactly("w1");
+    later.leave();
+    sim.run(1_000);
+    sim.restartServer(later);
+    sim.run(30_000);
+    assertThat(serversOnFormerClocks()).isEmpty();
+  }
+
+  /** Guards against two changes of planners in a row, before the backend server is listed again. */
+  @Test
+  void nextPlannerKeepsRecordOfServerWithoutTasks() {
+    SimulatedServer later = restartIdleServer();
+    sim.run(1_000);
+    assertThat(serversOnFormerClocks()).containsExactly("w1");
+    later.leave();
+    sim.electPlanner();
+    sim.run(500);
+    assertThat(serversOnFormerClocks()).containsExactly("w1");
+    sim.run(ALL_LEASES_MS);
+    assertThat(serversOnFormerClocks()).isEmpty();
+  }
+
   private List<String> serversOnFormerClocks() {
     return sim.records().stream()
         .filter(JobRecord.FormerClockLeases.class::isInstance)
