--- a/core/src/main/java/dev/toucanstall/core/plan/ServerRules.java
+++ b/core/src/main/java/dev/toucanstall/core/plan/ServerRules.java
@@ -304,9 +304,6 @@
    * Sends a renewal of a backend server's leases. Leases of an unresponsive backend server, or of
    * one whose incarnation is in doubt, are not renewed, but the lists are read: on the clock of a
    * later incarnation, the time of this one gives the longest lease.
-   *
-   * <p>A renewal that acknowledges finished runs does not wait for another: a later incarnation
-   * would forget the run that ends the wait.
    */
   private static void renewLease(Plan plan, Server server, long leaseMs, Now now) {
     boolean hasRuns =
@@ -325,8 +322,7 @@
         server.answered
             && hasRuns
             && server.unresponsiveSinceMs == 0
-            && !server.isIncarnationInDoubt()
-            && acknowledgedCompletion == 0;
+            && !server.isIncarnationInDoubt();
     long waitMs = waits ? maxWaitMs : 0;
     server.renewalPending = true;
     server.renewalSentMs = now.steadyMs();
