--- a/core/src/test/java/dev/toucanstall/core/plan/AcknowledgementAtRestartTest.java
+++ b/core/src/test/java/dev/toucanstall/core/plan/AcknowledgementAtRestartTest.java
@@ -2,7 +2,6 @@
 
 import static com.google.common.truth.Truth.assertThat;
 
-import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 
 /**
@@ -51,7 +50,6 @@
    * a later incarnation until a run finishes there, and makes it forget that end unread.
    */
   @Test
-  @Tag("known-red")
   void waitingRenewalForgetsNoEndOfLaterIncarnation() {
     sim.renewalsWait = true;
     sim.addServer("w1", 10_000);
