Split what has grown: results of orders, orders of maintenance, open jobs

Change: moves only, no decision differs. Comments that began with a question word, and a word of the users' pages in the soak, are reworded. Result: the module's build with all its tests, formatter and linter is green.

--- a/core/src/main/java/dev/toucanstall/core/lease/LeaseBound.java
+++ b/core/src/main/java/dev/toucanstall/core/lease/LeaseBound.java
@@ -1,7 +1,7 @@
 package dev.toucanstall.core.lease;
 
 /**
- * Time by which all leases that a backend server may hold have expired, and what sets it. Owned by
+ * Time by which all leases that a backend server may hold have expired, and its origin. Owned by
  * the control thread; times are in milliseconds of the planner's monotonic clock.
  *
  * <p>A lease is given as a time on the clock of the incarnation that the planner knows. An order
@@ -25,7 +25,7 @@
   /** Longest time that a slow clock loses between two readings of it, in milliseconds. */
   private static final long CLOCK_DRIFT_MS = 200;
 
-  /** What sets the bound. */
+  /** Origin of the bound. */
   public enum Source {
     /** A lease that this planner gave on the clock of the present incarnation. */
     OWN_LEASE,
@@ -35,7 +35,7 @@
     BEFORE_LISTING,
     /** Orders for a former incarnation that a later one may have carried out. */
     FORMER_CLOCK,
-    /** The same, while no entry or list has shown the later incarnation. */
+    /** Such orders, while no entry or list has shown the later incarnation. */
     RESTART_SUSPECTED
   }
 
@@ -205,7 +205,7 @@
   }
 
   /**
-   * Returns what sets the time at which all leases have surely expired.
+   * Returns the origin of the time at which all leases have surely expired.
    *
    * @return the source
    */
--- a/core/src/main/java/dev/toucanstall/core/node/PredecessorContact.java
+++ b/core/src/main/java/dev/toucanstall/core/node/PredecessorContact.java
@@ -7,7 +7,7 @@
 import java.util.OptionalLong;
 
 /**
- * What this entry instance knows of the leases that earlier planners have given. Owned by the
+ * Knowledge of this entry instance of the leases that earlier planners have given. Owned by the
  * control thread.
  *
  * <p>A planner prolongs its leases for an outage of the store only while each of its followers
--- a/core/src/main/java/dev/toucanstall/core/plan/CallRules.java
+++ b/core/src/main/java/dev/toucanstall/core/plan/CallRules.java
@@ -131,8 +131,8 @@
   /** Counts the jobs of a queue that no backend server has begun and that have no start time. */
   private static int countPending(Plan plan, String queue) {
     return (int)
-        plan.openByService.values().stream()
-            .flatMap(jobs -> jobs.stream())
+        plan.openJobs
+            .all()
             .filter(job -> job.queue.equals(queue) && !job.phase.ended() && !job.hasBegun())
             .filter(job -> !job.spec.hasStartTime())
             .count();
@@ -176,7 +176,7 @@
     plan.ledger.withdraw(job);
     job.tasks().forEach(Task::unbind);
     job.tasks().forEach(t -> t.setPhase(TaskPhase.DROPPED));
-    plan.close(job);
+    plan.openJobs.remove(job);
     plan.jobs.remove(job.id);
     job.withdrawn = true;
     plan.logEvent("job-refused", "job", job.id, "why", reason);
--- a/core/src/main/java/dev/toucanstall/core/plan/Demand.java
+++ b/core/src/main/java/dev/toucanstall/core/plan/Demand.java
@@ -3,7 +3,6 @@
 import dev.toucanstall.core.job.Resources;
 import dev.toucanstall.core.job.StepSpec;
 import java.util.List;
-import java.util.Set;
 
 /**
  * Demand of a service's queues for machines. Immutable.
@@ -37,9 +36,7 @@
   /** Computes the demand of a service from its open jobs and the recent arrivals. */
   static Demand of(Plan plan, String service, Now now) {
     Accumulator total = new Accumulator(plan, now);
-    plan.openByService.getOrDefault(service, Set.of()).stream()
-        .filter(job -> !job.phase.ended())
-        .forEach(total::add);
+    plan.openJobs.ofService(service).stream().filter(job -> !job.phase.ended()).forEach(total::add);
     ResourceAmount arrivalRate = plan.arrivals.rate(service, now.steadyMs());
     return new Demand(total.lasting, arrivalRate, total.backlog, total.minServers);
   }
--- a/core/src/main/java/dev/toucanstall/core/plan/Job.java
+++ b/core/src/main/java/dev/toucanstall/core/plan/Job.java
@@ -173,7 +173,7 @@
             || to == TaskPhase.DONE;
     if (readinessMayChange) {
       hasReadyTask = computeHasReadyTask();
-      plan.updateReady(this);
+      plan.openJobs.updateReady(this);
     }
   }
 
--- a/core/src/main/java/dev/toucanstall/core/plan/JobRules.java
+++ b/core/src/main/java/dev/toucanstall/core/plan/JobRules.java
@@ -130,7 +130,7 @@
   /** Closes an ended job once none of its tasks is bound to a backend server. */
   static void closeIfEnded(Plan plan, Job job) {
     if (job.phase.ended() && job.boundTasks == 0) {
-      plan.close(job);
+      plan.openJobs.remove(job);
     }
   }
 
@@ -196,11 +196,11 @@
   /** Takes over a new configuration. Moves each job whose queue is now run by another service. */
   static void catalogChanged(Plan plan, Catalog catalog) {
     plan.catalog = catalog;
-    plan.openByService.keySet().forEach(plan.servicesToPlace::add);
+    plan.openJobs.services().forEach(plan.servicesToPlace::add);
     for (Job job : new ArrayList<>(plan.jobs.values())) {
       Queue queue = plan.queue(job);
       if (queue != null && !queue.service().equals(job.service) && !job.phase.ended()) {
-        plan.close(job);
+        plan.openJobs.remove(job);
         job.service = queue.service();
         plan.open(job);
       }
@@ -217,7 +217,7 @@
       return;
     }
     plan.nextSweepMs = now.steadyMs() + SWEEP_INTERVAL_MS;
-    plan.openByService.keySet().forEach(plan.servicesToPlace::add);
+    plan.openJobs.services().forEach(plan.servicesToPlace::add);
     List<Job> expired =
         plan.jobs.values().stream()
             .filter(j -> j.phase.ended() && j.boundTasks == 0)
--- a/core/src/main/java/dev/toucanstall/core/plan/Maintenance.java
+++ b/core/src/main/java/dev/toucanstall/core/plan/Maintenance.java
@@ -1,6 +1,5 @@
 package dev.toucanstall.core.plan;
 
-import dev.toucanstall.core.job.JobRecord;
 import dev.toucanstall.core.job.MachineEntry;
 import dev.toucanstall.core.job.WaveOrder;
 import java.util.Comparator;
@@ -17,9 +16,6 @@
  */
 final class Maintenance {
 
-  /** Pause before an order that had no effect is repeated, in milliseconds. */
-  private static final long RETRY_PAUSE_MS = 500;
-
   /** Time assumed to empty and maintain one machine and list it again, in milliseconds. */
   private static final long MACHINE_CYCLE_MS = 5_000;
 
@@ -53,20 +49,6 @@
         Integer.toString(order.machines().size()));
   }
 
-  /** Restores the orders of earlier planners, which may yet be carried out. */
-  static void restore(Plan plan, JobRecord.OpenMaintenance open, Now now) {
-    for (JobRecord.MachineMaintenance recorded : open.orders()) {
-      plan.machines.orders.restore(recorded, now);
-      logOrder(
-          plan, recorded.wave(), recorded.machine(), "an earlier planner may have sent an order");
-    }
-  }
-
-  private static void logOrder(Plan plan, int wave, String machine, String reason) {
-    plan.logEvent(
-        "maintenance-ordered", "wave", Integer.toString(wave), "machine", machine, "why", reason);
-  }
-
   /**
    * Takes over a new list of machines. Machines that are in service again no longer count as away.
    */
@@ -104,78 +86,15 @@
     plan.logEvent("machines-unknown", "why", unknown.reason());
   }
 
-  /** Handles the result of an order to maintain a machine. */
-  static void maintenanceEnded(Plan plan, PlanEvent.Maintained event, Now now) {
-    Wave wave = plan.waves.get(event.wave());
-    MaintenanceOrders.Order order = wave == null ? null : wave.orders.get(event.machine());
-    if (wave == null || order == null) {
-      return;
-    }
-    order.requestEnded(RETRY_PAUSE_MS, now);
-    plan.logEvent(
-        "maintenance-answered",
-        "wave",
-        Integer.toString(event.wave()),
-        "machine",
-        order.machine,
-        "result",
-        event.result().name());
-    switch (event.result()) {
-      case BEGUN -> maintenanceBegun(plan, wave, order, now);
-      case UNFIT -> {
-        if (!order.mayStillApply(now)) {
-          cancelEmptying(plan, wave, order.machine);
-          endEvacuation(plan, order.server);
-          wave.rejected.add(order.machine);
-          plan.machines.orders.remove(order);
-          plan.ledger.addRecord(plan.machines.orders.openMaintenanceRecord());
-        }
-      }
-      case FENCED -> plan.emit(new PlanEffect.Resign("a machine has seen a higher fencing token"));
-      case MAYBE -> order.unanswered(now);
-      default -> {
-        // The order is sent again after a pause.
-      }
-    }
-  }
-
-  /**
-   * Handles maintenance that has begun, now or by an earlier request. In the second case the
-   * backend server may be a later one that runs on: it gets no tasks until a list shows the machine
-   * in service.
-   */
-  private static void maintenanceBegun(
-      Plan plan, Wave wave, MaintenanceOrders.Order order, Now now) {
-    if (!order.mayHaveBegun()) {
-      endServer(plan, wave, order.machine, now);
-    }
-    wave.downSinceMs.put(order.machine, now.steadyMs());
-    Set<String> begun = plan.machines.maintenanceBegun(order.wave);
-    begun.add(order.machine);
-    plan.ledger.addRecord(new JobRecord.WaveProgress(order.wave, List.copyOf(begun)));
-    plan.machines.orders.remove(order);
-    plan.ledger.addRecord(plan.machines.orders.openMaintenanceRecord());
-  }
-
-  /** Ends the backend server of a machine, because maintenance ends all processes on it. */
-  private static void endServer(Plan plan, Wave wave, String machine, Now now) {
-    String id = wave.emptying.remove(machine);
-    Server server = id == null ? null : plan.servers.get(id);
-    if (server != null) {
-      ServerRules.incarnationEnded(
-          plan, server, new RunEvidence(RunEvidence.Kind.MACHINE_MAINTAINED, now.steadyMs()), now);
-    }
-  }
-
   /** Lets the backend server of a machine take tasks again. */
-  private static void cancelEmptying(Plan plan, Wave wave, String machine) {
+  static void cancelEmptying(Plan plan, Wave wave, String machine) {
     String id = wave.emptying.remove(machine);
     if (id != null) {
       endEvacuation(plan, id);
     }
   }
 
-  private static void endEvacuation(Plan plan, String serverId) {
+  static void endEvacuation(Plan plan, String serverId) {
     Server server = plan.servers.get(serverId);
     if (server != null) {
       server.setEvacuating(false);
@@ -183,34 +102,6 @@
     }
   }
 
-  /**
-   * Removes the orders of earlier planners that need no answer: their maintenance has begun, or no
-   * wave that this planner knows of has the machine and they can't be carried out any more.
-   */
-  private static void removeObsoleteOrders(Plan plan, Now now) {
-    List<MaintenanceOrders.Order> removed =
-        plan.machines.orders.removeIf(order -> isObsolete(plan, order, now));
-    if (!removed.isEmpty()) {
-      for (MaintenanceOrders.Order order : removed) {
-        endEvacuation(plan, order.server);
-        plan.logEvent(
-            "maintenance-order-obsolete",
-            "wave",
-            Integer.toString(order.wave),
-            "machine",
-            order.machine);
-      }
-      plan.ledger.addRecord(plan.machines.orders.openMaintenanceRecord());
-    }
-  }
-
-  private static boolean isObsolete(Plan plan, MaintenanceOrders.Order order, Now now) {
-    Wave wave = plan.waves.get(order.wave);
-    boolean inWave = wave != null && wave.machines.contains(order.machine);
-    return plan.machines.maintenanceBegun(order.wave).contains(order.machine)
-        || (!inWave && !order.mayStillApply(now));
-  }
-
   /** Begins to evacuate a backend server, unless it is unknown or being evacuated. */
   private static void evacuate(Plan plan, String serverId, Now now) {
     Server server = plan.servers.get(serverId);
@@ -221,7 +112,7 @@
   }
 
   static void advance(Plan plan, Now now) {
-    removeObsoleteOrders(plan, now);
+    MaintenanceOrderRules.removeObsolete(plan, now);
     plan.machines.orders.all().forEach(order -> evacuate(plan, order.server, now));
     boolean needsList = plan.waves.values().stream().anyMatch(Wave::needsList);
     if (!needsList || !plan.mayIssueOrders(now)) {
@@ -283,35 +174,11 @@
         || plan.moves.isMoving(machine);
   }
 
-  /**
-   * Orders the maintenance of a machine if no task is left on it. The order is sent once the intent
-   * is stored, so that the next planner counts the machine as away until the outcome is known.
-   */
+  /** Orders the maintenance of a machine if no task is left on it. */
   private static void orderIfEmpty(Plan plan, Wave wave, String machine, Now now) {
-    if (!isEmpty(plan, wave, machine, now)) {
-      return;
-    }
-    MaintenanceOrders.Order order = wave.orders.get(machine);
-    if (order == null) {
-      addOrder(plan, wave, machine);
-    } else if (order.beginRequestIfDue(now)) {
-      plan.emit(new PlanEffect.Maintain(order.wave, machine, plan.epoch));
-    }
-  }
-
-  /** Adds an order; adds none while the record of open orders has no room for it. */
-  private static void addOrder(Plan plan, Wave wave, String machine) {
-    MaintenanceOrders orders = plan.machines.orders;
-    if (!orders.hasRoom(plan.storeLimits.recordBytes())) {
-      return;
+    if (isEmpty(plan, wave, machine, now)) {
+      MaintenanceOrderRules.order(plan, wave, machine, now);
     }
-    MaintenanceOrders.Order order =
-        new MaintenanceOrders.Order(
-            wave.order.number(), machine, wave.emptying.getOrDefault(machine, ""));
-    orders.add(order);
-    logOrder(plan, order.wave, machine, "no task is left on the machine");
-    plan.ledger.addRecord(orders.openMaintenanceRecord());
-    plan.ledger.runOnceStored((later, out) -> order.stored = true);
   }
 
   /**
@@ -377,8 +244,7 @@
     List<Server> pool = List.copyOf(plan.servers.ofService(machine.service()));
     long available = pool.stream().filter(Maintenance::isAvailable).count();
     boolean busy =
-        plan.openByService.getOrDefault(machine.service(), Set.of()).stream()
-            .anyMatch(j -> !j.spec.lasting());
+        plan.openJobs.ofService(machine.service()).stream().anyMatch(j -> !j.spec.lasting());
     long total =
         plan.machines.byName.values().stream()
             .filter(m -> m.service().equals(machine.service()))
--- a/core/src/main/java/dev/toucanstall/core/plan/Placement.java
+++ b/core/src/main/java/dev/toucanstall/core/plan/Placement.java
@@ -35,9 +35,9 @@
 
   /** Places the waiting tasks of one service. */
   private static void place(Plan plan, String service, Now now) {
-    Set<Job> ready = plan.readyByService.get(service);
+    Set<Job> ready = plan.openJobs.readyOfService(service);
     NavigableMap<Servers.FreeCapacity, Server> servers = plan.servers.byFreeCapacity(service);
-    if (ready == null || ready.isEmpty() || servers.isEmpty()) {
+    if (ready.isEmpty() || servers.isEmpty()) {
       return;
     }
     Pass pass = new Pass(plan, servers, now);
--- a/core/src/main/java/dev/toucanstall/core/plan/Plan.java
+++ b/core/src/main/java/dev/toucanstall/core/plan/Plan.java
@@ -8,7 +8,6 @@
 import dev.toucanstall.core.job.TaskPhase;
 import dev.toucanstall.core.model.StoreLimits;
 import java.util.ArrayList;
-import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
@@ -59,11 +58,7 @@
 
   final FormerClocks formerClocks = new FormerClocks();
 
-  /** Open jobs by service: those that have not ended or still have bound tasks. */
-  final Map<String, Set<Job>> openByService = new HashMap<>();
-
-  /** Open jobs by service that have tasks of ready steps waiting for capacity. */
-  final Map<String, Set<Job>> readyByService = new HashMap<>();
+  final OpenJobs openJobs = new OpenJobs();
 
   /** Maintenance waves by number. */
   final Map<Integer, Wave> waves = new LinkedHashMap<>();
@@ -243,7 +238,7 @@
    * @return the number of open jobs
    */
   public int openJobs() {
-    return openByService.values().stream().mapToInt(Set::size).sum();
+    return openJobs.size();
   }
 
   /**
@@ -262,10 +257,7 @@
    */
   public PlanLoad load() {
     int[] tasks = new int[TaskPhase.values().length];
-    openByService.values().stream()
-        .flatMap(Set::stream)
-        .flatMap(Job::tasks)
-        .forEach(task -> tasks[task.phase.ordinal()]++);
+    openJobs.all().flatMap(Job::tasks).forEach(task -> tasks[task.phase.ordinal()]++);
     return new PlanLoad(
         passes,
         openJobs(),
@@ -345,34 +337,12 @@
     jobs.put(job.id, job);
   }
 
-  /** Adds a job to the open jobs of its service and marks the service for placement. */
+  /** Adds a job to the open jobs and marks its service for placement. */
   void open(Job job) {
-    openByService.computeIfAbsent(job.service, s -> new LinkedHashSet<>()).add(job);
-    job.isOpen = true;
-    updateReady(job);
+    openJobs.add(job);
     servicesToPlace.add(job.service);
   }
 
-  /** Removes a job from the open jobs of its service. */
-  void close(Job job) {
-    Set<Job> open = openByService.get(job.service);
-    if (open != null) {
-      open.remove(job);
-    }
-    job.isOpen = false;
-    updateReady(job);
-  }
-
-  /** Updates the index of jobs with ready tasks for a job. */
-  void updateReady(Job job) {
-    Set<Job> all = readyByService.computeIfAbsent(job.service, s -> new LinkedHashSet<>());
-    if (job.isOpen && job.hasReadyTask) {
-      all.add(job);
-    } else {
-      all.remove(job);
-    }
-  }
-
   /** Marks the service of a backend server for the next placement pass. */
   void markForPlacement(Server server) {
     servicesToPlace.add(server.entry.service());
--- a/core/src/main/java/dev/toucanstall/core/plan/PlanReducer.java
+++ b/core/src/main/java/dev/toucanstall/core/plan/PlanReducer.java
@@ -55,12 +55,12 @@
       }
       case PlanEvent.ServersRead read -> ServerRules.serversRead(plan, read, now);
       case PlanEvent.Held held -> LeaseRenewalRules.renewalEnded(plan, held, now);
-      case PlanEvent.Started started -> OrderRules.started(plan, started, now);
-      case PlanEvent.Stopped stopped -> OrderRules.stopped(plan, stopped, now);
+      case PlanEvent.Started started -> OrderResultRules.started(plan, started, now);
+      case PlanEvent.Stopped stopped -> OrderResultRules.stopped(plan, stopped, now);
       case PlanEvent.WaveOrdered ordered -> Maintenance.waveOrdered(plan, ordered.order(), now);
       case PlanEvent.MachinesRead read -> Maintenance.machinesRead(plan, read, now);
       case PlanEvent.MachinesUnknown unknown -> Maintenance.machinesUnknown(plan, unknown, now);
-      case PlanEvent.Maintained maintained -> Maintenance.maintenanceEnded(plan, maintained, now);
+      case PlanEvent.Maintained maintained -> MaintenanceOrderRules.ended(plan, maintained, now);
       case PlanEvent.Moved moved -> PoolRebalancing.moveEnded(plan, moved, now);
     }
     plan.probe.done(PassProbe.Part.EVENT);
--- a/core/src/main/java/dev/toucanstall/core/plan/PoolRebalancing.java
+++ b/core/src/main/java/dev/toucanstall/core/plan/PoolRebalancing.java
@@ -183,8 +183,7 @@
       return;
     }
     boolean unused =
-        !plan.arrivals.hasArrivals(pool.service)
-            && plan.openByService.getOrDefault(pool.service, Set.of()).isEmpty();
+        !plan.arrivals.hasArrivals(pool.service) && plan.openJobs.ofService(pool.service).isEmpty();
     List<MachineEntry> idle =
         pool.idleMachines(now, MIN_IDLE_MS)
             .filter(m -> pool.idleMs(m, now) >= requiredIdleMs(plan, m, unused))
--- a/core/src/main/java/dev/toucanstall/core/plan/Recovery.java
+++ b/core/src/main/java/dev/toucanstall/core/plan/Recovery.java
@@ -44,7 +44,7 @@
           // Restored before the tasks whose leases it concerns.
         }
         case JobRecord.OpenMoves open -> open.moves().forEach(m -> plan.moves.restore(m, now));
-        case JobRecord.OpenMaintenance open -> Maintenance.restore(plan, open, now);
+        case JobRecord.OpenMaintenance open -> MaintenanceOrderRules.restore(plan, open, now);
         case JobRecord.Forgotten forgotten -> plan.jobs.remove(forgotten.job());
       }
     }
--- a/core/src/main/java/dev/toucanstall/core/plan/RunEvidence.java
+++ b/core/src/main/java/dev/toucanstall/core/plan/RunEvidence.java
@@ -3,13 +3,13 @@
 /**
  * Evidence that a run has ended or was never started, on which a planner releases its task.
  *
- * @param kind what was observed
+ * @param kind kind of observation
  * @param atMs time that the observation reflects at the earliest, in milliseconds of the monotonic
  *     clock: the sending of the call whose answer shows it, or the expiry of the leases
  */
 record RunEvidence(Kind kind, long atMs) {
 
-  /** What was observed. */
+  /** Kind of observation. */
   enum Kind {
     /** The backend server lists the run as finished. */
     END_LISTED,
--- a/testbed/src/test/java/dev/toucanstall/testbed/soak/SoakReducer.java
+++ b/testbed/src/test/java/dev/toucanstall/testbed/soak/SoakReducer.java
@@ -45,8 +45,8 @@
 
   private static void tick(SoakState state, long at, List<SoakEffect> effects) {
     if (state.store.topic("keyed.op").records.isEmpty()) {
-      byte[] manifest = manifest().toString().getBytes(StandardCharsets.UTF_8);
-      StoreRules.put(state, "keyed.op", "config", manifest, effects);
+      byte[] configuration = configuration().toString().getBytes(StandardCharsets.UTF_8);
+      StoreRules.put(state, "keyed.op", "config", configuration, effects);
       for (ServerState server : state.servers) {
         BackendRules.start(state, server, false, at, effects);
       }
@@ -63,8 +63,8 @@
     }
   }
 
-  /** Returns a manifest with a queue for each service, named like the service. */
-  private static ObjectNode manifest() {
+  /** Returns a configuration with a queue for each service, named like the service. */
+  private static ObjectNode configuration() {
     ObjectNode root = StoreRules.JSON.createObjectNode().put("version", 1);
     ArrayNode routes = root.putArray("routes");
     ArrayNode services = root.putArray("upstreams");
