Tests: steps of a restart stand once

Cause: seven test classes crashed and restarted a backend server, awaited a condition or asserted the outcome in the same lines, some in loops without an end; one of them ran on for nine minutes. Change: PlanSimulation.restart, losePlanner and runUntil (5 s at most, then the test fails); two classes have their own common steps.

--- a/core/src/test/java/dev/toucanstall/core/plan/LaterIncarnationTest.java
+++ b/core/src/test/java/dev/toucanstall/core/plan/LaterIncarnationTest.java
@@ -57,9 +57,7 @@
     PlanSimulation sim = simulationWithPlanner();
     sim.holdsBack = LaterIncarnationTest::isStart;
     sim.submit("j", PlanSimulation.lastingStep(1, 1_000, 0));
-    while (sim.heldBack.isEmpty()) {
-      sim.run(1);
-    }
+    sim.runUntil(() -> !sim.heldBack.isEmpty());
     sim.holdsBack = order -> false;
     sim.run(1_000);
     assertThat(runningJobs(sim.requireServer("w1"))).containsExactly("j");
@@ -84,9 +82,7 @@
     PlanSimulation sim = simulationWithPlanner();
     sim.holdsBack = LaterIncarnationTest::isStart;
     sim.submit("j", PlanSimulation.step(1, 1_000));
-    while (sim.heldBack.isEmpty()) {
-      sim.run(1);
-    }
+    sim.runUntil(() -> !sim.heldBack.isEmpty());
     sim.holdsBack = order -> false;
     sim.run(2_000);
     assertThat(sim.completed).hasSize(1);
@@ -106,9 +102,7 @@
     PlanSimulation sim = simulationWithPlanner();
     sim.holdsBack = LaterIncarnationTest::acknowledges;
     sim.submit("j", PlanSimulation.step(3, 1_000));
-    while (sim.heldBack.isEmpty()) {
-      sim.run(1);
-    }
+    sim.runUntil(() -> !sim.heldBack.isEmpty());
     final SimulatedServer later = restart(sim);
     sim.holdsBack = order -> false;
     sim.run(TAKE_OVER_MS);
@@ -132,9 +126,7 @@
     sim.submit("j", PlanSimulation.lastingStep(2, 1_000, 0));
     sim.run(2_000);
     sim.holdsBack = LaterIncarnationTest::givesLease;
-    while (sim.heldBack.isEmpty()) {
-      sim.run(1);
-    }
+    sim.runUntil(() -> !sim.heldBack.isEmpty());
     final SimulatedServer later = restart(sim);
     sim.holdsBack = order -> false;
     sim.run(TAKE_OVER_MS);
@@ -158,15 +150,11 @@
     sim.submit("j", PlanSimulation.lastingStep(2, 1_000, 0));
     sim.run(2_000);
     sim.holdsBack = LaterIncarnationTest::givesLease;
-    while (sim.heldBack.isEmpty()) {
-      sim.run(1);
-    }
+    sim.runUntil(() -> !sim.heldBack.isEmpty());
     sim.holdsBack = order -> false;
     final SimulatedServer later = restart(sim);
     sim.deliverOnItsWay();
-    while (later.running.isEmpty()) {
-      sim.run(1);
-    }
+    sim.runUntil(() -> !later.running.isEmpty());
     sim.run(20);
     later.reachable = false;
     final SimulatedServer other = sim.addServer("w2", 10_000);
--- a/core/src/test/java/dev/toucanstall/core/plan/LeaseBoundAfterRestartTest.java
+++ b/core/src/test/java/dev/toucanstall/core/plan/LeaseBoundAfterRestartTest.java
@@ -37,12 +37,9 @@
     sim.submit("j", PlanSimulation.lastingStep(1, 1_000, 0));
     sim.run(UPTIME_MS);
     sim.holdsBack = order -> order instanceof PlanEffect.Hold && isListedSoon();
-    while (sim.heldBack.isEmpty()) {
-      sim.run(1);
-    }
+    sim.runUntil(() -> !sim.heldBack.isEmpty());
     final long sentMs = sim.now().steadyMs();
-    sim.requireServer("w1").crash();
-    final SimulatedServer later = sim.restartServer(sim.requireServer("w1"));
+    final SimulatedServer later = sim.restart("w1");
     final Plan plan = Objects.requireNonNull(sim.planner).plan;
     sim.holdsBack = order -> order instanceof PlanEffect.Hold;
     sim.run(PlanSimulation.LATE_MS);
--- a/core/src/test/java/dev/toucanstall/core/plan/LeaseCapAfterRestartTest.java
+++ b/core/src/test/java/dev/toucanstall/core/plan/LeaseCapAfterRestartTest.java
@@ -41,11 +41,8 @@
     while (sim.effects.stream().noneMatch(e -> e instanceof PlanEffect.Start)) {
       sim.run(1);
     }
-    sim.requireServer("w1").crash();
-    final SimulatedServer later = sim.restartServer(sim.requireServer("w1"));
-    while (later.running.isEmpty()) {
-      sim.run(1);
-    }
+    final SimulatedServer later = sim.restart("w1");
+    sim.runUntil(() -> !later.running.isEmpty());
     sim.run(NOTICED_AFTER_MS);
     sim.submit("j", PlanSimulation.lastingStep(1, 1_000, 0));
     sim.run(ELECTED_AFTER_MS);
--- a/core/src/test/java/dev/toucanstall/core/plan/LeaseOnFormerClockTest.java
+++ b/core/src/test/java/dev/toucanstall/core/plan/LeaseOnFormerClockTest.java
@@ -2,8 +2,6 @@
 
 import static com.google.common.truth.Truth.assertThat;
 
-import java.util.Objects;
-import java.util.function.BooleanSupplier;
 import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 
@@ -20,9 +18,6 @@
   /** Time between two reads of the list of servers, in milliseconds. */
   private static final long LIST_INTERVAL_MS = 500;
 
-  /** Longest time until a condition holds, in milliseconds. */
-  private static final int MAX_WAIT_MS = 5_000;
-
   /** Time in which all leases of any planner expire, in milliseconds. */
   private static final long ALL_LEASES_MS = 14_000;
 
@@ -35,23 +30,15 @@
     sim.run(UPTIME_MS);
   }
 
-  /** Lets time pass until a condition holds; fails if it doesn't within some seconds. */
-  private void runUntil(BooleanSupplier condition) {
-    for (int i = 0; i < MAX_WAIT_MS && !condition.getAsBoolean(); i++) {
-      sim.run(1);
-    }
-    assertThat(condition.getAsBoolean()).isTrue();
-  }
-
   /** Lets time pass until an order of the planner has been held back. */
   private void runUntilHeldBack() {
-    runUntil(() -> !sim.heldBack.isEmpty());
+    sim.runUntil(() -> !sim.heldBack.isEmpty());
     sim.holdsBack = order -> false;
   }
 
   /** Lets time pass until the list of servers was read some time ago, in milliseconds. */
   private void runUntilListIsAged(long ageMs) {
-    runUntil(() -> sim.now().steadyMs() % LIST_INTERVAL_MS == ageMs);
+    sim.runUntil(() -> sim.now().steadyMs() % LIST_INTERVAL_MS == ageMs);
   }
 
   /** Lets time pass until a renewal has just been sent that waits for the end of a run. */
@@ -60,7 +47,7 @@
     sim.submit("waiting", PlanSimulation.step(1, 1_000));
     sim.run(3_000);
     int seen = sim.effects.size();
-    runUntil(() -> sim.effects.stream().skip(seen).anyMatch(LeaseOnFormerClockTest::waits));
+    sim.runUntil(() -> sim.effects.stream().skip(seen).anyMatch(LeaseOnFormerClockTest::waits));
     sim.run(10);
   }
 
@@ -89,7 +76,7 @@
   }
 
   private void runUntilRunning(SimulatedServer server, int count) {
-    runUntil(() -> server.running.size() >= count);
+    sim.runUntil(() -> server.running.size() >= count);
   }
 
   /** Cuts a backend server off for good and adds another one, to which its tasks may move. */
@@ -99,26 +86,37 @@
     return sim.addServer("w2", 10_000);
   }
 
-  /**
-   * Guards against two runs of a task at once within one term: a start is on its way while its
-   * backend server starts again, and the answer is lost, so that the planner counts the lease of a
-   * start on a known clock.
-   */
-  @Test
-  @Tag("known-red")
-  void leaseOfStartOnItsWayAtRestartIsAwaited() {
+  /** Has the later incarnation of "w1" carry out a start that was on its way at the restart. */
+  private SimulatedServer startOnItsWayAtRestart() {
     addServerAndPlanner();
     sim.holdsBack = order -> order instanceof PlanEffect.Start;
     sim.submit("j", PlanSimulation.step(1, 1_000));
     runUntilHeldBack();
     crashSilently();
-    final SimulatedServer later = restartUnlisted();
+    SimulatedServer later = restartUnlisted();
     sim.deliverOnItsWay();
     assertThat(later.running).hasSize(1);
-    final SimulatedServer other = replace(later);
+    return later;
+  }
+
+  /** Asserts that tasks run elsewhere once all leases have expired, and not before. */
+  private void assertStartedLater(SimulatedServer other, int count) {
     sim.run(ALL_LEASES_MS);
     assertThat(sim.violations).isEmpty();
-    assertThat(other.running).hasSize(1);
+    assertThat(other.running).hasSize(count);
+  }
+
+  /**
+   * Guards against two runs of a task at once within one term: a start is on its way while its
+   * backend server starts again, and the answer is lost, so that the planner counts the lease of a
+   * start on a known clock.
+   */
+  @Test
+  @Tag("known-red")
+  void leaseOfStartOnItsWayAtRestartIsAwaited() {
+    final SimulatedServer later = startOnItsWayAtRestart();
+    final SimulatedServer other = replace(later);
+    assertStartedLater(other, 1);
   }
 
   /**
@@ -137,9 +135,7 @@
     later.dropsStartAnswers = true;
     runUntilRunning(later, 1);
     final SimulatedServer other = replace(later);
-    sim.run(ALL_LEASES_MS);
-    assertThat(sim.violations).isEmpty();
-    assertThat(other.running).hasSize(2);
+    assertStartedLater(other, 2);
   }
 
   /**
@@ -163,9 +159,7 @@
     sim.run(200);
     final SimulatedServer other = replace(later);
     sim.holdsBack = order -> false;
-    sim.run(ALL_LEASES_MS);
-    assertThat(sim.violations).isEmpty();
-    assertThat(other.running).hasSize(3);
+    assertStartedLater(other, 3);
   }
 
   /**
@@ -180,20 +174,17 @@
     sim.run(2_000);
     sim.holdsBack = LeaseOnFormerClockTest::givesLease;
     runUntilHeldBack();
-    sim.requireServer("w1").crash();
-    final SimulatedServer later = sim.restartServer(sim.requireServer("w1"));
+    final SimulatedServer later = sim.restart("w1");
     sim.deliverOnItsWay();
     runUntilRunning(later, 2);
     sim.run(100);
     final long confirmedMs = sim.now().steadyMs();
-    Objects.requireNonNull(sim.planner).active = false;
+    sim.losePlanner();
     sim.run(300);
     final SimulatedServer other = replace(later);
     sim.run(300);
     sim.electPlanner(Succession.of(sim.now().steadyMs(), confirmedMs, 0));
-    sim.run(ALL_LEASES_MS);
-    assertThat(sim.violations).isEmpty();
-    assertThat(other.running).hasSize(2);
+    assertStartedLater(other, 2);
   }
 
   /**
@@ -203,22 +194,13 @@
   @Test
   @Tag("known-red")
   void nextPlannerAwaitsLeaseOfUnansweredStartAtRestart() {
-    addServerAndPlanner();
-    sim.holdsBack = order -> order instanceof PlanEffect.Start;
-    sim.submit("j", PlanSimulation.step(1, 1_000));
-    runUntilHeldBack();
-    crashSilently();
-    final SimulatedServer later = restartUnlisted();
-    sim.deliverOnItsWay();
-    assertThat(later.running).hasSize(1);
+    final SimulatedServer later = startOnItsWayAtRestart();
     final long confirmedMs = sim.now().steadyMs();
-    Objects.requireNonNull(sim.planner).active = false;
+    sim.losePlanner();
     final SimulatedServer other = replace(later);
     sim.run(600);
     sim.holdsBack = order -> false;
     sim.electPlanner(Succession.of(sim.now().steadyMs(), confirmedMs, 0));
-    sim.run(ALL_LEASES_MS);
-    assertThat(sim.violations).isEmpty();
-    assertThat(other.running).hasSize(1);
+    assertStartedLater(other, 1);
   }
 }
--- a/core/src/test/java/dev/toucanstall/core/plan/PlanSimulation.java
+++ b/core/src/test/java/dev/toucanstall/core/plan/PlanSimulation.java
@@ -1,5 +1,7 @@
 package dev.toucanstall.core.plan;
 
+import static com.google.common.truth.Truth.assertWithMessage;
+
 import dev.toucanstall.core.job.Account;
 import dev.toucanstall.core.job.Catalog;
 import dev.toucanstall.core.job.FinishedRun;
@@ -27,6 +29,7 @@
 import java.util.PriorityQueue;
 import java.util.Random;
 import java.util.Set;
+import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 import java.util.function.LongUnaryOperator;
 import java.util.function.Predicate;
@@ -56,6 +59,9 @@
    */
   static final long LATE_MS = 250;
 
+  /** Longest time in which a test awaits a condition, in milliseconds. */
+  private static final long LONGEST_WAIT_MS = 5_000;
+
   private static final long TICK_MS = 20;
   private static final long SERVER_LIST_INTERVAL_MS = 500;
 
@@ -314,6 +320,31 @@
     nowMs = endMs;
   }
 
+  /** Lets time pass until a condition holds, at most {@link #LONGEST_WAIT_MS}. */
+  void runUntil(BooleanSupplier condition) {
+    long endMs = nowMs + LONGEST_WAIT_MS;
+    while (!condition.getAsBoolean() && nowMs < endMs) {
+      run(1);
+    }
+    assertWithMessage("condition within %s ms", LONGEST_WAIT_MS)
+        .that(condition.getAsBoolean())
+        .isTrue();
+  }
+
+  /** Ends a backend server without a word and starts it again at once under its id. */
+  SimulatedServer restart(String id) {
+    requireServer(id).crash();
+    return restartServer(requireServer(id));
+  }
+
+  /** Ends the planner; another one may be elected later. */
+  void losePlanner() {
+    Planner lost = planner;
+    if (lost != null) {
+      lost.active = false;
+    }
+  }
+
   private void tick() {
     servers.values().stream().filter(s -> s.up).forEach(s -> s.advance(nowMs));
     if (storeAvailable) {
--- a/core/src/test/java/dev/toucanstall/core/plan/StartOnItsWayTest.java
+++ b/core/src/test/java/dev/toucanstall/core/plan/StartOnItsWayTest.java
@@ -32,9 +32,7 @@
     sim.run(UPTIME_MS);
     sim.holdsBack = order -> order instanceof PlanEffect.Start;
     sim.submit("j", PlanSimulation.lastingStep(1, 1_000, 0));
-    while (sim.heldBack.isEmpty()) {
-      sim.run(1);
-    }
+    sim.runUntil(() -> !sim.heldBack.isEmpty());
     final long sentMs = sim.now().steadyMs();
     sim.holdsBack = order -> false;
     sim.requireServer("w1").draining = true;
@@ -43,8 +41,7 @@
     while (other.running.isEmpty() && sim.now().steadyMs() < sentMs + PlanSimulation.LATE_MS) {
       sim.run(1);
     }
-    sim.requireServer("w1").crash();
-    final SimulatedServer later = sim.restartServer(sim.requireServer("w1"));
+    final SimulatedServer later = sim.restart("w1");
     later.reachesStore = false;
     later.lastReportMs = 0;
     assertThat(sim.now().steadyMs() - sentMs).isAtMost(PlanSimulation.LATE_MS);
--- a/core/src/test/java/dev/toucanstall/core/plan/StopBeforeRestartTest.java
+++ b/core/src/test/java/dev/toucanstall/core/plan/StopBeforeRestartTest.java
@@ -33,14 +33,11 @@
     sim.run(UPTIME_MS);
     sim.holdsBack = order -> order instanceof PlanEffect.Start;
     sim.submit("j", PlanSimulation.lastingStep(1, 1_000, 0));
-    while (sim.heldBack.isEmpty()) {
-      sim.run(1);
-    }
+    sim.runUntil(() -> !sim.heldBack.isEmpty());
     sim.holdsBack = order -> false;
     sim.call(new JobCall.Cancel("j", PlanSimulation.QUEUE));
     sim.run(STOP_ANSWERED_MS);
-    sim.requireServer("w1").crash();
-    final SimulatedServer later = sim.restartServer(sim.requireServer("w1"));
+    final SimulatedServer later = sim.restart("w1");
     sim.deliverOnItsWay();
     assertThat(later.running).hasSize(1);
     sim.run(TAKE_OVER_MS);
--- a/core/src/test/java/dev/toucanstall/core/plan/SuccessionAfterRestartTest.java
+++ b/core/src/test/java/dev/toucanstall/core/plan/SuccessionAfterRestartTest.java
@@ -49,14 +49,9 @@
         PlanSimulation.step(1, 1_000),
         PlanSimulation.step(1, 1_000),
         PlanSimulation.step(1, 1_000, 1));
-    while (sim.effects.stream().noneMatch(SuccessionAfterRestartTest::startsLastStep)) {
-      sim.run(1);
-    }
-    sim.requireServer("w1").crash();
-    SimulatedServer later = sim.restartServer(sim.requireServer("w1"));
-    while (later.running.isEmpty()) {
-      sim.run(1);
-    }
+    sim.runUntil(() -> sim.effects.stream().anyMatch(SuccessionAfterRestartTest::startsLastStep));
+    SimulatedServer later = sim.restart("w1");
+    sim.runUntil(() -> !later.running.isEmpty());
     return later;
   }
 
@@ -64,12 +59,16 @@
     return effect instanceof PlanEffect.Start start && start.task().step() == 2;
   }
 
-  /** Replaces the planner, which is lost some time before the next one is elected. */
-  private void losePlanner() {
-    PlanSimulation.Planner lost = sim.planner;
-    if (lost != null) {
-      lost.active = false;
-    }
+  /** Elects a planner that knows when the store last confirmed the lost one. */
+  private void electNextPlanner(long confirmedMs) {
+    sim.electPlanner(Succession.of(sim.now().steadyMs(), confirmedMs, 0));
+  }
+
+  /** Asserts that both tasks run again elsewhere once all leases have expired, and not before. */
+  private void assertBothStartedLater(SimulatedServer other) {
+    sim.run(ALL_LEASES_MS);
+    assertThat(sim.violations).isEmpty();
+    assertThat(other.running).hasSize(2);
   }
 
   /**
@@ -81,15 +80,13 @@
     final SimulatedServer later = startOnLaterIncarnation();
     sim.run(PLANNER_LOST_AFTER_MS);
     final long confirmedMs = sim.now().steadyMs();
-    losePlanner();
+    sim.losePlanner();
     sim.run(CUT_OFF_AFTER_MS);
     later.reachable = false;
     final SimulatedServer other = sim.addServer("w2", 10_000);
     sim.run(ELECTED_AFTER_MS);
-    sim.electPlanner(Succession.of(sim.now().steadyMs(), confirmedMs, 0));
-    sim.run(ALL_LEASES_MS);
-    assertThat(sim.violations).isEmpty();
-    assertThat(other.running).hasSize(2);
+    electNextPlanner(confirmedMs);
+    assertBothStartedLater(other);
   }
 
   /**
@@ -101,17 +98,15 @@
     final SimulatedServer later = startOnLaterIncarnation();
     sim.run(PLANNER_LOST_AFTER_MS);
     final long confirmedMs = sim.now().steadyMs();
-    losePlanner();
+    sim.losePlanner();
     sim.run(ELECTED_AFTER_MS);
     final SimulatedServer other = sim.addServer("w2", 10_000);
     sim.holdsBack = order -> order instanceof PlanEffect.Hold h && h.leaseExpiryMs() > 0;
-    sim.electPlanner(Succession.of(sim.now().steadyMs(), confirmedMs, 0));
+    electNextPlanner(confirmedMs);
     sim.run(CUT_OFF_AFTER_MS);
     later.reachable = false;
     sim.holdsBack = order -> false;
-    sim.run(ALL_LEASES_MS);
-    assertThat(sim.violations).isEmpty();
-    assertThat(other.running).hasSize(2);
+    assertBothStartedLater(other);
   }
 
   /** Guards against long waits for a backend server whose leases are all of the usual length. */
@@ -134,15 +129,13 @@
     sim.storeAvailable = false;
     final long confirmedMs = sim.now().steadyMs();
     sim.run(PLANNER_LOST_AFTER_MS);
-    losePlanner();
+    sim.losePlanner();
     later.reachable = false;
     sim.storeAvailable = true;
     final SimulatedServer other = sim.addServer("w2", 10_000);
     sim.run(ELECTED_AFTER_MS);
-    sim.electPlanner(Succession.of(sim.now().steadyMs(), confirmedMs, 0));
-    sim.run(ALL_LEASES_MS);
-    assertThat(sim.violations).isEmpty();
-    assertThat(other.running).hasSize(2);
+    electNextPlanner(confirmedMs);
+    assertBothStartedLater(other);
   }
 
   /** Restarts "w1", whose later incarnation the planner knows from its entry. */
@@ -150,8 +143,7 @@
     sim.addServer("w1", 10_000);
     sim.electPlanner();
     sim.run(UPTIME_MS);
-    sim.requireServer("w1").crash();
-    return sim.restartServer(sim.requireServer("w1"));
+    return sim.restart("w1");
   }
 
   /** Guards against a record that names a backend server long after it has left. */
--- a/core/src/test/java/dev/toucanstall/core/plan/UnknownIncarnationTest.java
+++ b/core/src/test/java/dev/toucanstall/core/plan/UnknownIncarnationTest.java
@@ -35,11 +35,8 @@
     while (sim.effects.stream().noneMatch(e -> e instanceof PlanEffect.Start)) {
       sim.run(1);
     }
-    sim.requireServer("w1").crash();
-    SimulatedServer later = sim.restartServer(sim.requireServer("w1"));
-    while (later.running.isEmpty()) {
-      sim.run(1);
-    }
+    SimulatedServer later = sim.restart("w1");
+    sim.runUntil(() -> !later.running.isEmpty());
     return later;
   }
 
