Keep objects only for occurrences and tasks that are due and unfinished

Cause: a job built the lists, counters and tasks of all its occurrences when it was submitted or restored, 16.6 MB for each of these jobs; twelve filled the planner's heap, and the next planner read the same records. Ending such a job, each change of one of its tasks and each pass went over all of them, too.

Fix: an occurrence has an object from when it is due until it is done, at most 64 at a time with tasks to place; a task from the first attempt to place it until it is done. Before they are numbers, afterwards bits. Occurrences become due by their time, not by a search. A job that has ended drops its tasks.

--- a/core/src/main/java/dev/toucanstall/core/job/JobRecord.java
+++ b/core/src/main/java/dev/toucanstall/core/job/JobRecord.java
@@ -176,5 +176,17 @@
       String address,
       long bornMs,
       int failures,
-      String saved) {}
+      String saved) {
+
+    /**
+     * Returns the progress of a task that is done, of which nothing else matters any more.
+     *
+     * @param task the task
+     * @return the progress
+     */
+    public static TaskProgress done(TaskKey task) {
+      return new TaskProgress(
+          task.occurrence(), task.step(), task.index(), TaskPhase.DONE, 0, "", "", 0, 0, "");
+    }
+  }
 }
--- a/core/src/main/java/dev/toucanstall/core/plan/CallRules.java
+++ b/core/src/main/java/dev/toucanstall/core/plan/CallRules.java
@@ -89,7 +89,7 @@
         "account",
         job.account,
         "tasks",
-        Long.toString(job.tasks().count()),
+        Integer.toString(job.taskCount()),
         "cpu",
         Long.toString(first.need().cpu()),
         "memory",
@@ -174,8 +174,9 @@
   /** Takes back a job whose submission is not stored and will not be. */
   static void refuse(Plan plan, Job job, JobAnswer refusal, String reason) {
     plan.ledger.withdraw(job);
-    job.tasks().forEach(Task::unbind);
-    job.tasks().forEach(t -> t.setPhase(TaskPhase.DROPPED));
+    List<Task> begun = job.tasks().toList();
+    begun.forEach(Task::unbind);
+    begun.forEach(t -> t.setPhase(TaskPhase.DROPPED));
     plan.openJobs.remove(job);
     plan.jobs.remove(job.id);
     job.withdrawn = true;
--- a/core/src/main/java/dev/toucanstall/core/plan/Demand.java
+++ b/core/src/main/java/dev/toucanstall/core/plan/Demand.java
@@ -2,7 +2,6 @@
 
 import dev.toucanstall.core.job.Resources;
 import dev.toucanstall.core.job.StepSpec;
-import java.util.List;
 
 /**
  * Demand of a service's queues for machines. Immutable.
@@ -60,21 +59,27 @@
     }
 
     void add(Job job) {
-      for (int k = 0; k < job.occurrences.size(); k++) {
-        List<List<Task>> steps = job.occurrences.get(k);
-        for (int s = 0; s < steps.size(); s++) {
-          add(job, k, s, steps.get(s));
+      for (Occurrence occurrence : job.occurrences()) {
+        for (int s = 0; s < occurrence.steps.size(); s++) {
+          StepTasks step = occurrence.steps.get(s);
+          long startable = countStartable(job, occurrence, s);
+          add(job, step.spec, step.counts.bound(), startable);
+          if (step.spec.perServer() > 0) {
+            long tasks = step.counts.bound() + startable;
+            minServers = Math.max(minServers, (int) ceilDiv(tasks, step.spec.perServer()));
+          }
+        }
+      }
+      int uncreated = job.uncreatedDue(now.wallMs());
+      if (uncreated > 0) {
+        for (StepSpec step : job.spec.steps()) {
+          boolean first = step.after().isEmpty();
+          add(job, step, 0, first && mayStart(job, step) ? (long) uncreated * step.count() : 0);
         }
       }
     }
 
-    private void add(Job job, int occurrence, int stepNumber, List<Task> tasks) {
-      StepSpec step = tasks.getFirst().step;
-      long bound = job.counts(occurrence, stepNumber).bound();
-      long startable = countStartable(job, occurrence, stepNumber, tasks);
-      if (step.perServer() > 0) {
-        minServers = Math.max(minServers, (int) ceilDiv(bound + startable, step.perServer()));
-      }
+    private void add(Job job, StepSpec step, long bound, long startable) {
       if (step.lasting()) {
         lasting = lasting.plus(ResourceAmount.of(step.reserved()).times(bound + startable));
       } else if (startable > 0) {
@@ -99,13 +104,17 @@
      * Counts the tasks that more capacity would let start. A task does not count if its step is not
      * ready, its client account's quota is used up or its job is beyond the account's share.
      */
-    private long countStartable(Job job, int occurrence, int number, List<Task> tasks) {
-      Resources need = tasks.getFirst().step.need();
-      boolean allowed = plan.quotas.used(job.account).plus(need).isWithin(plan.quota(job.account));
-      if (!allowed || job.beyondShare || !job.isStepReady(occurrence, number, now.wallMs())) {
-        return 0;
-      }
-      return job.counts(occurrence, number).waiting();
+    private long countStartable(Job job, Occurrence occurrence, int number) {
+      StepTasks step = occurrence.steps.get(number);
+      boolean startable =
+          job.isStepReady(occurrence, number, now.wallMs()) && mayStart(job, step.spec);
+      return startable ? step.counts.waiting() : 0;
+    }
+
+    /** Returns whether a task of a step is within its account's quota and share. */
+    private boolean mayStart(Job job, StepSpec step) {
+      return !job.beyondShare
+          && plan.quotas.used(job.account).plus(step.need()).isWithin(plan.quota(job.account));
     }
 
     private static long ceilDiv(long dividend, long divisor) {
--- a/core/src/main/java/dev/toucanstall/core/plan/Evacuation.java
+++ b/core/src/main/java/dev/toucanstall/core/plan/Evacuation.java
@@ -63,9 +63,9 @@
    * unavailable than the step may miss, which is at least one.
    */
   static boolean mayStop(Task task, Now now) {
-    List<Task> step = task.job.occurrences.get(task.key.occurrence()).get(task.key.step());
-    long unavailable = step.stream().filter(t -> t != task && !isServing(t, now)).count();
-    return unavailable < Math.max(1, task.step.mayMiss());
+    StepTasks step = task.siblings;
+    long unavailable = step.present().filter(t -> t != task && !isServing(t, now)).count();
+    return unavailable + step.absentWaiting() < Math.max(1, task.step.mayMiss());
   }
 
   /**
--- a/core/src/main/java/dev/toucanstall/core/plan/Job.java
+++ b/core/src/main/java/dev/toucanstall/core/plan/Job.java
@@ -9,16 +9,23 @@
 import dev.toucanstall.core.job.TaskPhase;
 import java.util.ArrayList;
 import java.util.BitSet;
+import java.util.Collection;
 import java.util.List;
 import java.util.Map;
+import java.util.NavigableMap;
 import java.util.Optional;
 import java.util.TreeMap;
-import java.util.stream.IntStream;
 import java.util.stream.Stream;
 
 /** A job with its tasks and their phases. Owned by the control thread. */
 final class Job {
 
+  /**
+   * Most occurrences with ready tasks that are created at a time. Those that are due and not
+   * created yet follow in later passes.
+   */
+  private static final int MAX_READY_OCCURRENCES = 64;
+
   final Plan plan;
 
   final String id;
@@ -74,13 +81,25 @@
 
   private int remainingTasks;
 
-  /** Counters by occurrence and step. */
-  private final List<List<StepCounts>> counts;
+  /** Number of tasks of each occurrence. */
+  final int tasksPerOccurrence;
+
+  /** Occurrences that were due and are not done, by number. */
+  private final NavigableMap<Integer, Occurrence> current = new TreeMap<>();
+
+  /** Numbers of the occurrences that are done. */
+  private final BitSet done = new BitSet(0);
+
+  /** Number of the first of the occurrences that were not due yet; all that follow were not. */
+  private int nextOccurrence;
 
-  /** Tasks by occurrence, step and index. */
-  final List<List<List<Task>>> occurrences;
+  /** Time under which {@link OpenJobs} has scheduled the job, in Unix milliseconds. */
+  long scheduledMs;
 
-  /** Creates a job whose tasks all wait. */
+  /** Number of current occurrences with ready tasks. */
+  private int readyOccurrences;
+
+  /** Creates a job whose tasks all wait. Only its first occurrence has an object. */
   Job(Plan plan, JobRecord.Submitted submitted) {
     this.plan = plan;
     this.id = submitted.job();
@@ -90,53 +109,119 @@
     this.submittedMs = submitted.submittedMs();
     this.spec = submitted.spec();
     this.lasting = spec.lasting();
-    this.counts =
-        IntStream.range(0, Math.max(1, spec.occurrences())).mapToObj(k -> newCounters()).toList();
-    this.occurrences =
-        IntStream.range(0, Math.max(1, spec.occurrences())).mapToObj(this::newOccurrence).toList();
-    this.remainingTasks =
-        spec.steps().stream().mapToInt(StepSpec::count).sum() * occurrences.size();
-    this.hasReadyTask = computeHasReadyTask();
-  }
-
-  private List<StepCounts> newCounters() {
-    return spec.steps().stream().map(step -> new StepCounts(step.count())).toList();
-  }
-
-  private List<List<Task>> newOccurrence(int occurrence) {
-    List<List<Task>> steps = new ArrayList<>();
-    int position = occurrence * spec.steps().stream().mapToInt(StepSpec::count).sum();
-    for (int s = 0; s < spec.steps().size(); s++) {
-      StepSpec step = spec.steps().get(s);
-      List<Task> tasks = new ArrayList<>(step.count());
-      for (int i = 0; i < step.count(); i++) {
-        tasks.add(
-            new Task(
-                this,
-                ProgressParts.partOf(position++),
-                new TaskKey(id, occurrence, s, i),
-                step,
-                counts.get(occurrence).get(s)));
-      }
-      steps.add(tasks);
+    this.tasksPerOccurrence = spec.steps().stream().mapToInt(StepSpec::count).sum();
+    this.remainingTasks = taskCount();
+    createNext();
+  }
+
+  /** Returns the number of tasks of all occurrences. */
+  int taskCount() {
+    return tasksPerOccurrence * occurrenceCount();
+  }
+
+  private int occurrenceCount() {
+    return Math.max(1, spec.occurrences());
+  }
+
+  /** Returns the occurrences that were due and are not done, to be read only. */
+  Collection<Occurrence> occurrences() {
+    return current.values();
+  }
+
+  /** Returns a current occurrence, or empty if it is not due yet or done. */
+  Optional<Occurrence> findOccurrence(int number) {
+    return Optional.ofNullable(current.get(number));
+  }
+
+  private Occurrence createNext() {
+    Occurrence created = new Occurrence(this, nextOccurrence++);
+    current.put(created.number, created);
+    if (created.hasReadyTask()) {
+      readyOccurrences++;
     }
-    return steps;
+    hasReadyTask = readyOccurrences > 0;
+    return created;
+  }
+
+  /** Returns whether the job has not ended and has occurrences that were not due yet. */
+  boolean hasFutureOccurrences() {
+    return !phase.ended() && nextOccurrence < occurrenceCount();
+  }
+
+  /** Returns the time at which the next of them is due, in Unix milliseconds. */
+  long nextDueMs() {
+    return spec.dueMs(nextOccurrence);
   }
 
+  /**
+   * Creates the occurrences that are due, at most as many as a placement pass needs. The others
+   * follow as these are placed.
+   *
+   * @return whether any was created
+   */
+  boolean createDue(long wallMs) {
+    final int before = nextOccurrence;
+    while (hasFutureOccurrences()
+        && nextDueMs() <= wallMs
+        && readyOccurrences < MAX_READY_OCCURRENCES) {
+      createNext();
+    }
+    return nextOccurrence > before;
+  }
+
+  /** Drops the tasks of a job that has ended and has no bound task. */
+  void dropTasks() {
+    current.clear();
+    readyOccurrences = 0;
+    hasReadyTask = false;
+  }
+
+  /** Returns the number of occurrences that are due and not created yet. */
+  int uncreatedDue(long wallMs) {
+    if (!hasFutureOccurrences() || nextDueMs() > wallMs) {
+      return 0;
+    }
+    int remaining = occurrenceCount() - nextOccurrence;
+    return spec.intervalMs() <= 0
+        ? remaining
+        : (int) Math.min(remaining, (wallMs - nextDueMs()) / spec.intervalMs() + 1);
+  }
+
+  /** Returns the tasks that have an object: those that wait to be placed may have none. */
   Stream<Task> tasks() {
-    return occurrences.stream().flatMap(List::stream).flatMap(List::stream);
+    return current.values().stream().flatMap(Occurrence::present);
+  }
+
+  /** Returns the number of waiting tasks of current occurrences. */
+  int waitingTasks() {
+    return current.values().stream()
+        .flatMap(k -> k.steps.stream())
+        .mapToInt(s -> s.counts.waiting())
+        .sum();
   }
 
-  /** Returns a task, or empty if the job has no such task. */
+  /** Returns a task that has an object, or empty. */
   Optional<Task> find(TaskKey key) {
-    return elementAt(occurrences, key.occurrence())
-        .flatMap(steps -> elementAt(steps, key.step()))
-        .flatMap(tasks -> elementAt(tasks, key.index()));
+    return findOccurrence(key.occurrence())
+        .flatMap(k -> k.findStep(key.step()))
+        .flatMap(s -> s.find(key.index()));
   }
 
-  /** Returns an element of a list, or empty if the index is out of range. */
-  private static <T> Optional<T> elementAt(List<T> list, int index) {
-    return index >= 0 && index < list.size() ? Optional.of(list.get(index)) : Optional.empty();
+  /**
+   * Returns a task of which a record was stored, and creates its object and its occurrence if need
+   * be; empty if the job has no such task or it is done.
+   */
+  Optional<Task> restorable(TaskKey key) {
+    if (key.occurrence() < 0 || key.occurrence() >= occurrenceCount()) {
+      return Optional.empty();
+    }
+    while (nextOccurrence <= key.occurrence()) {
+      createNext();
+    }
+    return findOccurrence(key.occurrence())
+        .flatMap(k -> k.findStep(key.step()))
+        .filter(s -> key.index() >= 0 && key.index() < s.size() && !s.isDone(key.index()))
+        .map(s -> s.require(key.index()));
   }
 
   /** Marks a pending job as running because one of its tasks has been ordered. */
@@ -154,56 +239,40 @@
     return begun;
   }
 
-  StepCounts counts(int occurrence, int step) {
-    return counts.get(occurrence).get(step);
-  }
-
   boolean allDone() {
     return remainingTasks == 0;
   }
 
   /** Updates the counters after a task has changed its phase. */
-  void taskPhaseChanged(TaskPhase from, TaskPhase to) {
+  void taskPhaseChanged(Task task, TaskPhase from, TaskPhase to) {
     begun |= to == TaskPhase.RUNNING || to == TaskPhase.DONE;
-    remainingTasks += (from == TaskPhase.DONE ? 1 : 0) - (to == TaskPhase.DONE ? 1 : 0);
+    remainingTasks -= to == TaskPhase.DONE ? 1 : 0;
     boolean readinessMayChange =
-        from == TaskPhase.WAITING
-            || to == TaskPhase.WAITING
-            || from == TaskPhase.DONE
-            || to == TaskPhase.DONE;
+        from == TaskPhase.WAITING || to == TaskPhase.WAITING || to == TaskPhase.DONE;
     if (readinessMayChange) {
-      hasReadyTask = computeHasReadyTask();
+      findOccurrence(task.key.occurrence()).ifPresent(this::updateReady);
       plan.openJobs.updateReady(this);
     }
   }
 
-  /** Computes whether some waiting task belongs to a step whose predecessors are done. */
-  private boolean computeHasReadyTask() {
-    for (List<StepCounts> steps : counts) {
-      for (int s = 0; s < steps.size(); s++) {
-        if (steps.get(s).waiting() > 0 && predecessorsDone(steps, s)) {
-          return true;
-        }
-      }
-    }
-    return false;
-  }
-
-  private boolean predecessorsDone(List<StepCounts> steps, int step) {
-    for (int predecessor : spec.steps().get(step).after()) {
-      if (!steps.get(predecessor).done()) {
-        return false;
-      }
+  /** Updates what is known of an occurrence, and drops its object once it is done. */
+  private void updateReady(Occurrence occurrence) {
+    boolean before = occurrence.hasReadyTask();
+    occurrence.updateReady();
+    readyOccurrences += (occurrence.hasReadyTask() ? 1 : 0) - (before ? 1 : 0);
+    hasReadyTask = readyOccurrences > 0;
+    if (occurrence.allDone()) {
+      current.remove(occurrence.number);
+      done.set(occurrence.number);
     }
-    return true;
   }
 
   /**
    * Returns whether the tasks of a step may start: its occurrence is due and all steps before it
    * are done.
    */
-  boolean isStepReady(int occurrence, int step, long wallMs) {
-    return wallMs >= spec.dueMs(occurrence) && predecessorsDone(counts.get(occurrence), step);
+  boolean isStepReady(Occurrence occurrence, int step, long wallMs) {
+    return wallMs >= spec.dueMs(occurrence.number) && occurrence.predecessorsDone(step);
   }
 
   JobRecord.Submitted submissionRecord() {
@@ -243,12 +312,41 @@
   /** Returns the progress of the tasks of the first part and of the changed parts, by part. */
   private Map<Integer, List<TaskProgress>> changedTasks(BitSet changed) {
     Map<Integer, List<TaskProgress>> byPart = new TreeMap<>();
-    int last = Math.max(0, changed.length() - 1);
-    tasks()
-        .takeWhile(t -> t.part <= last)
-        .filter(t -> (t.part == 0 || changed.get(t.part)) && t.hasBegun())
+    changed.set(0);
+    changed.stream()
         .forEach(
-            t -> byPart.computeIfAbsent(t.part, p -> new ArrayList<>()).add(t.progressRecord()));
+            part -> {
+              List<TaskProgress> begunTasks =
+                  ProgressParts.positionsOf(part, taskCount())
+                      .mapToObj(this::progressAt)
+                      .flatMap(Optional::stream)
+                      .toList();
+              if (!begunTasks.isEmpty()) {
+                byPart.put(part, begunTasks);
+              }
+            });
     return byPart;
   }
+
+  /** Returns the progress of the task at a position of the job, or empty if it has not begun. */
+  private Optional<TaskProgress> progressAt(int position) {
+    int occurrence = position / tasksPerOccurrence;
+    int step = 0;
+    int index = position % tasksPerOccurrence;
+    while (index >= spec.steps().get(step).count()) {
+      index -= spec.steps().get(step).count();
+      step++;
+    }
+    TaskKey key = new TaskKey(id, occurrence, step, index);
+    return isDone(key)
+        ? Optional.of(TaskProgress.done(key))
+        : find(key).filter(Task::hasBegun).map(Task::progressRecord);
+  }
+
+  private boolean isDone(TaskKey key) {
+    return done.get(key.occurrence())
+        || findOccurrence(key.occurrence())
+            .map(k -> k.steps.get(key.step()).isDone(key.index()))
+            .orElse(false);
+  }
 }
--- a/core/src/main/java/dev/toucanstall/core/plan/JobRules.java
+++ b/core/src/main/java/dev/toucanstall/core/plan/JobRules.java
@@ -80,16 +80,16 @@
 
   /** Returns the expected remaining duration of a step of the first occurrence, in milliseconds. */
   private static long remainingMs(Plan plan, Job job, int step, Now now) {
-    StepCounts counts = job.counts(0, step);
-    if (counts.done()) {
+    StepTasks tasks = job.findOccurrence(0).flatMap(first -> first.findStep(step)).orElse(null);
+    if (tasks == null || tasks.counts.done()) {
       return 0;
     }
     long expected = plan.durations.expectedMs(job.queue, job.spec.steps().get(step));
-    if (counts.hasUnboundTasks()) {
+    if (tasks.counts.hasUnboundTasks()) {
       return expected;
     }
     long remaining = 0;
-    for (Task task : job.occurrences.getFirst().get(step)) {
+    for (Task task : tasks.present().toList()) {
       if (task.phase.bound()) {
         remaining = Math.max(remaining, expected - (now.steadyMs() - task.orderedMs));
       }
@@ -131,6 +131,7 @@
   static void closeIfEnded(Plan plan, Job job) {
     if (job.phase.ended() && job.boundTasks == 0) {
       plan.openJobs.remove(job);
+      job.dropTasks();
     }
   }
 
@@ -141,6 +142,7 @@
     plan.ledger.changed(job);
     job.tasks()
         .filter(t -> t.phase == TaskPhase.WAITING)
+        .toList()
         .forEach(t -> t.setPhase(TaskPhase.DROPPED));
     List<Task> bound = job.tasks().filter(t -> t.phase.bound()).toList();
     bound.forEach(t -> OrderRules.stopOnceStored(plan, t));
--- a/core/src/main/java/dev/toucanstall/core/plan/LeaseRenewalRules.java
+++ b/core/src/main/java/dev/toucanstall/core/plan/LeaseRenewalRules.java
@@ -6,7 +6,6 @@
 import dev.toucanstall.core.job.Queue;
 import dev.toucanstall.core.job.TaskKey;
 import dev.toucanstall.core.job.TaskPhase;
-import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
@@ -261,18 +260,16 @@
    * its next run instead, unless its job has ended.
    */
   private static void markDone(Plan plan, Task task, Now now) {
-    List<Task> tasks =
-        task.step.gang()
-            ? new ArrayList<>(task.job.occurrences.get(task.key.occurrence()).get(task.key.step()))
-            : List.of(task);
+    List<Task> tasks = task.step.gang() ? task.siblings.all() : List.of(task);
+    TaskPhase next =
+        task.job.phase.ended()
+            ? TaskPhase.DROPPED
+            : task.step.lasting() ? TaskPhase.WAITING : TaskPhase.DONE;
     tasks.forEach(
         t -> {
           t.unbind();
-          t.setPhase(task.job.phase.ended() ? TaskPhase.DROPPED : TaskPhase.DONE);
+          t.setPhase(next);
         });
-    if (task.step.lasting() && !task.job.phase.ended()) {
-      task.setPhase(TaskPhase.WAITING);
-    }
     plan.ledger.changed(task.job);
     JobRules.completeIfDone(plan, task.job, now);
   }
@@ -283,7 +280,7 @@
    */
   private static void runFailed(Plan plan, Server server, Task task, long sentMs, Now now) {
     task.failures++;
-    task.avoidedServers.add(server.entry.id());
+    task.avoid(server);
     if (!hasServed(task)) {
       countFailure(plan, server, now);
     }
--- a/core/src/main/java/dev/toucanstall/core/plan/Placement.java
+++ b/core/src/main/java/dev/toucanstall/core/plan/Placement.java
@@ -7,6 +7,7 @@
 import dev.toucanstall.core.job.TaskPhase;
 import java.util.ArrayList;
 import java.util.Comparator;
+import java.util.Iterator;
 import java.util.List;
 import java.util.NavigableMap;
 import java.util.Optional;
@@ -124,16 +125,22 @@
      * it.
      */
     boolean mayFit(Job job) {
-      List<StepSpec> steps = job.spec.steps();
-      for (int k = 0; k < job.occurrences.size(); k++) {
-        for (int s = 0; s < steps.size(); s++) {
-          StepSpec step = steps.get(s);
-          if (job.counts(k, s).waiting() > 0
-              && step.reserved().cpu() <= maxFreeCpu
-              && withinQuota(job, step.need())
-              && job.isStepReady(k, s, now.wallMs())) {
-            return true;
-          }
+      for (Occurrence occurrence : job.occurrences()) {
+        if (occurrence.hasReadyTask() && mayFit(job, occurrence)) {
+          return true;
+        }
+      }
+      return false;
+    }
+
+    private boolean mayFit(Job job, Occurrence occurrence) {
+      for (int s = 0; s < occurrence.steps.size(); s++) {
+        StepTasks step = occurrence.steps.get(s);
+        if (step.counts.waiting() > 0
+            && step.spec.reserved().cpu() <= maxFreeCpu
+            && withinQuota(job, step.spec.need())
+            && job.isStepReady(occurrence, s, now.wallMs())) {
+          return true;
         }
       }
       return false;
@@ -144,23 +151,24 @@
       if (plan.queue(job) == null) {
         return;
       }
-      for (int k = 0; k < job.occurrences.size(); k++) {
-        List<List<Task>> steps = job.occurrences.get(k);
-        for (int s = 0; s < steps.size(); s++) {
-          if (job.counts(k, s).waiting() > 0 && job.isStepReady(k, s, now.wallMs())) {
-            place(job, steps.get(s), waiting(steps.get(s)));
+      for (Occurrence occurrence : List.copyOf(job.occurrences())) {
+        for (int s = 0; s < occurrence.steps.size(); s++) {
+          StepTasks step = occurrence.steps.get(s);
+          if (step.counts.waiting() > 0 && job.isStepReady(occurrence, s, now.wallMs())) {
+            place(job, step);
           }
         }
       }
     }
 
     /** Places the waiting tasks of a step, until one does not fit. */
-    private void place(Job job, List<Task> step, List<Task> waiting) {
-      if (waiting.getFirst().step.gang()) {
-        placeGang(step, waiting);
+    private void place(Job job, StepTasks step) {
+      if (step.spec.gang()) {
+        placeGang(step);
         return;
       }
-      for (Task task : waiting) {
+      for (Iterator<Task> waiting = step.waiting().iterator(); waiting.hasNext(); ) {
+        Task task = waiting.next();
         if (!withinQuota(job, task.step.need())) {
           return;
         }
@@ -176,16 +184,6 @@
       }
     }
 
-    private static List<Task> waiting(List<Task> step) {
-      List<Task> waiting = new ArrayList<>(step.size());
-      for (Task task : step) {
-        if (task.phase == TaskPhase.WAITING) {
-          waiting.add(task);
-        }
-      }
-      return waiting;
-    }
-
     private boolean withinQuota(Job job, Resources need) {
       return plan.quotas.used(job.account).plus(need).isWithin(plan.quota(job.account));
     }
@@ -193,13 +191,14 @@
     /**
      * Starts a gang if none of its tasks is bound and all of them fit; all get the same run number.
      */
-    private void placeGang(List<Task> step, List<Task> waiting) {
-      if (waiting.size() < step.size()) {
+    private void placeGang(StepTasks step) {
+      if (step.counts.waiting() < step.size()) {
         return;
       }
-      long run = step.stream().mapToLong(t -> t.run).max().orElse(0);
+      List<Task> tasks = step.all();
+      long run = tasks.stream().mapToLong(t -> t.run).max().orElse(0);
       List<Task> ordered = new ArrayList<>();
-      for (Task task : step) {
+      for (Task task : tasks) {
         task.run = run;
         Optional<Server> server =
             withinQuota(task.job, task.step.need()) ? chooseServer(step, task) : Optional.empty();
@@ -237,7 +236,7 @@
      * <p>The score of a backend server is at most its bonus minus its free capacity. The search
      * goes by rising free capacity and ends as soon as no further backend server can be better.
      */
-    private Optional<Server> chooseServer(List<Task> step, Task task) {
+    private Optional<Server> chooseServer(StepTasks step, Task task) {
       Resources need = task.step.reserved();
       for (Resources unplaceable : unplaceableNeeds) {
         if (unplaceable.fitsInto(need)) {
@@ -286,7 +285,7 @@
       if (!spec.label().isEmpty() && !server.entry.labels().contains(spec.label())) {
         return false;
       }
-      return spec.perServer() == 0 || task.counts.boundTo(server) < spec.perServer();
+      return spec.perServer() == 0 || task.siblings.counts.boundTo(server) < spec.perServer();
     }
 
     /**
@@ -297,15 +296,15 @@
      * whose machine does not await maintenance, which is near the data or the step's other tasks,
      * and which has the least free capacity, so that machines that are not needed become idle.
      */
-    private long score(List<Task> step, Task task, Server server) {
+    private long score(StepTasks step, Task task, Server server) {
       long score = -server.freeCapacity().cpu();
-      if (task.avoidedServers.contains(server.entry.id())) {
+      if (task.avoids(server)) {
         score -= 1_000_000_000L;
       }
       if (interferes(task.step, server)) {
         score -= 100_000_000L;
       }
-      if (task.step.lasting() && exceedsHalf(step.size(), task.counts.boundTo(server))) {
+      if (task.step.lasting() && exceedsHalf(step.size(), step.counts.boundTo(server))) {
         score -= 20_000_000L;
       }
       if (task.step.lasting() && Maintenance.awaitsMaintenance(plan, server)) {
@@ -340,8 +339,8 @@
      * Returns whether another task of the step is on a backend server with the same labels, thus on
      * the same rack.
      */
-    private boolean sharesRack(List<Task> step, Server server) {
-      return step.stream()
+    private boolean sharesRack(StepTasks step, Server server) {
+      return step.present()
           .map(t -> t.server)
           .filter(s -> s != null)
           .anyMatch(s -> s.entry.labels().equals(server.entry.labels()));
--- a/core/src/main/java/dev/toucanstall/core/plan/Plan.java
+++ b/core/src/main/java/dev/toucanstall/core/plan/Plan.java
@@ -258,6 +258,7 @@
   public PlanLoad load() {
     int[] tasks = new int[TaskPhase.values().length];
     openJobs.all().flatMap(Job::tasks).forEach(task -> tasks[task.phase.ordinal()]++);
+    tasks[TaskPhase.WAITING.ordinal()] = openJobs.all().mapToInt(Job::waitingTasks).sum();
     return new PlanLoad(
         passes,
         openJobs(),
--- a/core/src/main/java/dev/toucanstall/core/plan/PlanLoad.java
+++ b/core/src/main/java/dev/toucanstall/core/plan/PlanLoad.java
@@ -7,7 +7,7 @@
  * @param openJobs jobs that have not ended or still have bound tasks
  * @param servers known backend servers
  * @param serversInUse backend servers with bound tasks
- * @param waiting waiting tasks of open jobs
+ * @param waiting waiting tasks of open jobs that are due
  * @param ordered tasks whose start is not confirmed
  * @param running tasks that run
  * @param stopping tasks that are being stopped
--- a/core/src/main/java/dev/toucanstall/core/plan/PlanReducer.java
+++ b/core/src/main/java/dev/toucanstall/core/plan/PlanReducer.java
@@ -77,6 +77,7 @@
   private static void pass(Plan plan, Now now) {
     plan.orders.advance(now);
     plan.formerClocks.dropExpired(now);
+    plan.servicesToPlace.addAll(plan.openJobs.createDue(now.wallMs()));
     Maintenance.advance(plan, now);
     plan.probe.done(PassProbe.Part.MAINTENANCE);
     Evacuation.advance(plan, now);
--- a/core/src/main/java/dev/toucanstall/core/plan/ProgressParts.java
+++ b/core/src/main/java/dev/toucanstall/core/plan/ProgressParts.java
@@ -1,6 +1,7 @@
 package dev.toucanstall.core.plan;
 
 import java.util.BitSet;
+import java.util.stream.IntStream;
 
 /**
  * The parts in which a job's progress is stored. A record has a largest size, so the tasks are
@@ -23,6 +24,12 @@
     return position / TASKS_PER_PART;
   }
 
+  /** Returns the positions in a job of the tasks of a part. */
+  static IntStream positionsOf(int part, int taskCount) {
+    int first = part * TASKS_PER_PART;
+    return IntStream.range(first, Math.min(first + TASKS_PER_PART, taskCount));
+  }
+
   /** Marks a part as changed. */
   void changed(int part) {
     changed.set(part);
--- a/core/src/main/java/dev/toucanstall/core/plan/Recovery.java
+++ b/core/src/main/java/dev/toucanstall/core/plan/Recovery.java
@@ -96,7 +96,7 @@
   private static void restore(Plan plan, Job job, List<TaskProgress> tasks, Now now) {
     for (TaskProgress recorded : tasks) {
       TaskKey key = new TaskKey(job.id, recorded.occurrence(), recorded.step(), recorded.index());
-      job.find(key).ifPresent(task -> restore(plan, task, recorded, now));
+      job.restorable(key).ifPresent(task -> restore(plan, task, recorded, now));
     }
   }
 
--- /dev/null
+++ b/core/src/main/java/dev/toucanstall/core/plan/StepTasks.java
@@ -0,0 +1,127 @@
+package dev.toucanstall.core.plan;
+
+import dev.toucanstall.core.job.StepSpec;
+import dev.toucanstall.core.job.TaskKey;
+import dev.toucanstall.core.job.TaskPhase;
+import java.util.BitSet;
+import java.util.List;
+import java.util.NavigableMap;
+import java.util.Optional;
+import java.util.TreeMap;
+import java.util.stream.IntStream;
+import java.util.stream.Stream;
+
+/**
+ * The tasks of one step of an occurrence. A task has an object from the first attempt to place it
+ * until it is done; before, it is part of a count, and afterwards a bit. Owned by the control
+ * thread.
+ */
+final class StepTasks {
+
+  final Job job;
+
+  final StepSpec spec;
+
+  final StepCounts counts;
+
+  private final int occurrence;
+
+  private final int number;
+
+  /** Position in the job of the step's first task. */
+  private final int firstPosition;
+
+  /** Tasks that have an object, by index. */
+  private final NavigableMap<Integer, Task> present = new TreeMap<>();
+
+  /** Indexes of the tasks that are done and have no object any more. */
+  private final BitSet done = new BitSet(0);
+
+  /** Index of the first of the tasks that have no object yet; all that follow have none either. */
+  private int nextIndex;
+
+  StepTasks(Job job, int occurrence, int number, int firstPosition) {
+    this.job = job;
+    this.occurrence = occurrence;
+    this.number = number;
+    this.firstPosition = firstPosition;
+    this.spec = job.spec.steps().get(number);
+    this.counts = new StepCounts(spec.count());
+  }
+
+  int size() {
+    return spec.count();
+  }
+
+  /** Returns the tasks that have an object, in the order of their indexes, to be read only. */
+  Stream<Task> present() {
+    return present.values().stream();
+  }
+
+  /** Returns the number of tasks that have no object yet; they wait. */
+  int absentWaiting() {
+    return size() - nextIndex;
+  }
+
+  /** Returns a task that has an object, or empty. */
+  Optional<Task> find(int index) {
+    return Optional.ofNullable(present.get(index));
+  }
+
+  /** Returns all tasks that are not done, and creates the objects that are missing. */
+  List<Task> all() {
+    while (nextIndex < size()) {
+      createNext();
+    }
+    return List.copyOf(present.values());
+  }
+
+  /**
+   * Returns the waiting tasks in the order of their indexes, to be consumed while they are placed.
+   * Objects are created as the stream is consumed.
+   */
+  Stream<Task> waiting() {
+    List<Task> begun = present().filter(t -> t.phase == TaskPhase.WAITING).toList();
+    return Stream.concat(
+        begun.stream(), IntStream.range(nextIndex, size()).mapToObj(i -> createNext()));
+  }
+
+  /** Returns a task that is not done, and creates its object if it has none. */
+  Task require(int index) {
+    while (nextIndex <= index) {
+      createNext();
+    }
+    Task task = present.get(index);
+    if (task == null) {
+      throw new IllegalArgumentException("task %d of a step is done".formatted(index));
+    }
+    return task;
+  }
+
+  private Task createNext() {
+    int index = nextIndex++;
+    Task task =
+        new Task(
+            this,
+            ProgressParts.partOf(firstPosition + index),
+            new TaskKey(job.id, occurrence, number, index));
+    present.put(index, task);
+    return task;
+  }
+
+  /** Returns whether a task is done and has no object any more. */
+  boolean isDone(int index) {
+    return done.get(index);
+  }
+
+  /**
+   * Updates the counters after a task has changed its phase, and drops the object of a done one.
+   */
+  void phaseChanged(Task task, TaskPhase from, TaskPhase to) {
+    counts.phaseChanged(from, to);
+    if (to == TaskPhase.DONE) {
+      present.remove(task.key.index());
+      done.set(task.key.index());
+    }
+  }
+}
--- a/core/src/main/java/dev/toucanstall/core/plan/Task.java
+++ b/core/src/main/java/dev/toucanstall/core/plan/Task.java
@@ -17,7 +17,8 @@
 
   final StepSpec step;
 
-  final StepCounts counts;
+  /** Tasks of the same step of the same occurrence, with this one. */
+  final StepTasks siblings;
 
   /** Number of the part of the job's progress that holds the task's. */
   final int part;
@@ -85,14 +86,27 @@
   int pacePercent = 100;
 
   /** Ids of the backend servers on which the task has failed. */
-  final Set<String> avoidedServers = new HashSet<>();
+  private Set<String> avoidedServers = Set.of();
 
-  Task(Job job, int part, TaskKey key, StepSpec step, StepCounts counts) {
-    this.job = job;
+  Task(StepTasks siblings, int part, TaskKey key) {
+    this.job = siblings.job;
     this.part = part;
     this.key = key;
-    this.step = step;
-    this.counts = counts;
+    this.step = siblings.spec;
+    this.siblings = siblings;
+  }
+
+  /** Takes note that the task has failed on a backend server. */
+  void avoid(Server failed) {
+    if (avoidedServers.isEmpty()) {
+      avoidedServers = new HashSet<>();
+    }
+    avoidedServers.add(failed.entry.id());
+  }
+
+  /** Returns whether the task has failed on a backend server. */
+  boolean avoids(Server candidate) {
+    return avoidedServers.contains(candidate.entry.id());
   }
 
   /**
@@ -109,8 +123,8 @@
     if (previous != next) {
       phase = next;
       job.parts.changed(part);
-      counts.phaseChanged(previous, next);
-      job.taskPhaseChanged(previous, next);
+      siblings.phaseChanged(this, previous, next);
+      job.taskPhaseChanged(this, previous, next);
     }
   }
 
@@ -126,7 +140,7 @@
   void bind(Server newServer) {
     server = newServer;
     newServer.bind(this);
-    counts.bind(newServer);
+    siblings.counts.bind(newServer);
     job.plan.quotas.add(job.account, step.need());
     job.boundTasks++;
   }
@@ -141,7 +155,7 @@
       return;
     }
     from.unbind(this);
-    counts.unbind(from);
+    siblings.counts.unbind(from);
     job.plan.quotas.remove(job.account, step.need());
     job.boundTasks--;
     server = null;
--- a/core/src/test/java/dev/toucanstall/core/plan/PlanSimulation.java
+++ b/core/src/test/java/dev/toucanstall/core/plan/PlanSimulation.java
@@ -463,6 +463,10 @@
     return submitAs(ACCOUNT, job, steps);
   }
 
+  long submit(String job, JobSpec spec) {
+    return call(new JobCall.Submit(job, QUEUE, ACCOUNT, spec));
+  }
+
   long submitAs(String account, String job, StepSpec... steps) {
     JobSpec spec = new JobSpec("text", List.of(steps), 1, 0, 0);
     return call(new JobCall.Submit(job, QUEUE, account, spec));
--- a/core/src/test/java/dev/toucanstall/core/plan/StepCountsTest.java
+++ b/core/src/test/java/dev/toucanstall/core/plan/StepCountsTest.java
@@ -7,6 +7,7 @@
 import dev.toucanstall.core.job.TaskPhase;
 import java.util.List;
 import java.util.Objects;
+import java.util.stream.IntStream;
 import org.junit.jupiter.api.Test;
 
 /**
@@ -20,23 +21,32 @@
   }
 
   private static void assertCountsMatch(Plan plan, Job job) {
-    for (int occurrence = 0; occurrence < job.occurrences.size(); occurrence++) {
-      for (int step = 0; step < job.occurrences.get(occurrence).size(); step++) {
-        List<Task> tasks = job.occurrences.get(occurrence).get(step);
-        StepCounts counts = job.counts(occurrence, step);
-        assertThat(counts.waiting())
-            .isEqualTo(tasks.stream().filter(t -> t.phase == TaskPhase.WAITING).count());
-        assertThat(counts.bound()).isEqualTo(tasks.stream().filter(t -> t.phase.bound()).count());
-        assertThat(counts.done())
-            .isEqualTo(tasks.stream().allMatch(t -> t.phase == TaskPhase.DONE));
-        for (Server server : plan.servers.values()) {
-          assertThat(counts.boundTo(server))
-              .isEqualTo(tasks.stream().filter(t -> t.server == server).count());
-        }
+    for (Occurrence occurrence : job.occurrences()) {
+      for (StepTasks step : occurrence.steps) {
+        assertCountsMatch(plan, step);
       }
     }
   }
 
+  /** Checks the counts of a step against its tasks, also those that have no object. */
+  private static void assertCountsMatch(Plan plan, StepTasks step) {
+    List<Task> tasks = step.present().toList();
+    StepCounts counts = step.counts;
+    long done = IntStream.range(0, step.size()).filter(step::isDone).count();
+    assertThat(tasks.size() + step.absentWaiting() + done).isEqualTo(step.size());
+    assertThat(tasks.stream().noneMatch(t -> t.phase == TaskPhase.DONE)).isTrue();
+    assertThat(counts.waiting())
+        .isEqualTo(
+            step.absentWaiting()
+                + tasks.stream().filter(t -> t.phase == TaskPhase.WAITING).count());
+    assertThat(counts.bound()).isEqualTo(tasks.stream().filter(t -> t.phase.bound()).count());
+    assertThat(counts.done()).isEqualTo(done == step.size());
+    for (Server server : plan.servers.values()) {
+      assertThat(counts.boundTo(server))
+          .isEqualTo(tasks.stream().filter(t -> t.server == server).count());
+    }
+  }
+
   /** Checks all counts of steps, and the free capacity of backend servers, against the tasks. */
   private static void assertCountsMatch(Plan plan) {
     plan.jobs.values().forEach(job -> assertCountsMatch(plan, job));
