End the process when one of its threads ends by an error

Cause: the control loop and the threads of links catch RuntimeException only. An OutOfMemoryError ended the thread and left the rest of the process.

Fix: an error of any thread writes one line to the standard error stream and ends the process, so another instance is elected; an exception that is none ends its thread only, but for the control loop.

--- a/entry/src/main/java/dev/toucanstall/entry/main/EntryMain.java
+++ b/entry/src/main/java/dev/toucanstall/entry/main/EntryMain.java
@@ -5,6 +5,7 @@
 import com.beust.jcommander.ParameterException;
 import dev.toucanstall.entry.config.ConfigReader;
 import dev.toucanstall.entry.config.EntryConfig;
+import dev.toucanstall.runtime.process.FatalErrors;
 import java.io.IOException;
 import java.io.PrintStream;
 import java.nio.file.Files;
@@ -41,6 +42,7 @@
    * @throws InterruptedException if the main thread is interrupted
    */
   public static void main(String[] args) throws InterruptedException {
+    FatalErrors.install();
     EntryMain main = new EntryMain();
     JCommander commander =
         JCommander.newBuilder().addObject(main).programName("toucanstall-entry").build();
--- a/entry/src/main/java/dev/toucanstall/entry/node/NodeMain.java
+++ b/entry/src/main/java/dev/toucanstall/entry/node/NodeMain.java
@@ -2,6 +2,7 @@
 
 import dev.toucanstall.platform.settings.PlatformSettings;
 import dev.toucanstall.runtime.log.LogLine;
+import dev.toucanstall.runtime.process.FatalErrors;
 import dev.toucanstall.wire.Decoded;
 import java.io.IOException;
 import java.nio.file.Files;
@@ -26,6 +27,7 @@
    * @throws InterruptedException if the main thread is interrupted
    */
   public static void main(String[] args) throws InterruptedException {
+    FatalErrors.install();
     int status = run();
     LogManager.shutdown();
     Runtime.getRuntime().halt(status);
--- a/runtime/src/main/java/dev/toucanstall/runtime/loop/ControlLoop.java
+++ b/runtime/src/main/java/dev/toucanstall/runtime/loop/ControlLoop.java
@@ -13,7 +13,7 @@
 /**
  * Event loop on one thread, which owns a state, takes events from a blocking queue, applies a
  * reducer to each and passes the effects to an interpreter. Events may be posted by any thread; the
- * state is never shared.
+ * state is never shared. An {@link Error} ends the thread.
  *
  * @param <S> the type of the state
  * @param <E> the type of the events
@@ -151,7 +151,18 @@
     return cpuNanos;
   }
 
+  /**
+   * Handles events until the loop is closed. A loop that ends by an exception fails its process.
+   */
   private void run() {
+    try {
+      handleEvents();
+    } catch (RuntimeException e) {
+      throw new AssertionError("the control loop can't go on", e);
+    }
+  }
+
+  private void handleEvents() {
     long now = System.nanoTime();
     long nextTick = now;
     long nextCpuSample = now;
