Bound the memory that accepted jobs may take

The limit of 20,000 tasks held for one job; nothing bounded the sum.

Cause: CallRules.submit accepted whatever the store took.

Fix: an upper bound in bytes for all jobs, also restored and ended ones.

--- a/core/src/main/java/dev/toucanstall/core/job/JobAnswer.java
+++ b/core/src/main/java/dev/toucanstall/core/job/JobAnswer.java
@@ -57,7 +57,7 @@
     NOT_FRESH,
     /** No planner answered in time, or the store accepts no records. */
     NO_PLANNER,
-    /** Too many calls are in progress. */
+    /** Too many calls are in progress, or the jobs use up the planner's memory. */
     OVERLOADED,
     /** The entry instance is stopping; another entry instance can serve the call. */
     STOPPING
--- a/core/src/main/java/dev/toucanstall/core/job/JobSpec.java
+++ b/core/src/main/java/dev/toucanstall/core/job/JobSpec.java
@@ -14,6 +14,9 @@
 public record JobSpec(
     String text, List<StepSpec> steps, int occurrences, long startAtMs, long intervalMs) {
 
+  /** Specification of a job that has ended, of which nothing else is known. */
+  public static final JobSpec EMPTY = new JobSpec("", List.of(), 1, 0, 0);
+
   /** Copies the list of steps. */
   public JobSpec {
     steps = List.copyOf(steps);
--- a/core/src/main/java/dev/toucanstall/core/plan/CallRules.java
+++ b/core/src/main/java/dev/toucanstall/core/plan/CallRules.java
@@ -41,7 +41,8 @@
    * Accepts a new job, or answers again for a job that is known, because a submission is idempotent
    * by the job's id.
    *
-   * <p>Submissions are refused while the queue is unknown or the store has an outage.
+   * <p>Submissions are refused while the queue is unknown or the store has an outage, and those for
+   * which the planner's memory has no room.
    */
   private static void submit(Plan plan, long ticket, JobCall.Submit submit, Now now) {
     Job existing = plan.jobs.get(submit.job());
@@ -54,6 +55,11 @@
       answer(plan, ticket, new JobAnswer.Refused(Reason.NO_PLANNER, RETRY_AFTER_MS));
       return;
     }
+    if (!plan.jobMemory.hasRoomFor(submit.spec())) {
+      plan.logEvent("job-refused", "job", submit.job(), "why", "the jobs use up the memory");
+      answer(plan, ticket, new JobAnswer.Refused(Reason.OVERLOADED, RETRY_AFTER_MS));
+      return;
+    }
     Job job =
         new Job(
             plan,
@@ -178,7 +184,7 @@
     begun.forEach(Task::unbind);
     begun.forEach(t -> t.setPhase(TaskPhase.DROPPED));
     plan.openJobs.remove(job);
-    plan.jobs.remove(job.id);
+    plan.remove(job.id);
     job.withdrawn = true;
     plan.logEvent("job-refused", "job", job.id, "why", reason);
     job.submissionTickets.forEach(t -> answer(plan, t, refusal));
--- a/core/src/main/java/dev/toucanstall/core/plan/Job.java
+++ b/core/src/main/java/dev/toucanstall/core/plan/Job.java
@@ -24,7 +24,7 @@
    * Most occurrences with ready tasks that are created at a time. Those that are due and not
    * created yet follow in later passes.
    */
-  private static final int MAX_READY_OCCURRENCES = 64;
+  static final int MAX_READY_OCCURRENCES = 64;
 
   final Plan plan;
 
@@ -38,7 +38,8 @@
   /** Time of the submission, in Unix milliseconds. */
   final long submittedMs;
 
-  final JobSpec spec;
+  /** Specification; empty once the end of the job is to be stored. */
+  JobSpec spec;
 
   /** Whether any step lasts until the job is cancelled. */
   final boolean lasting;
@@ -288,6 +289,8 @@
   List<JobRecord> takeProgressRecords() {
     if (phase.ended() && boundTasks == 0) {
       JobRecord closed = new JobRecord.Closed(id, queue, phase, endedMs);
+      spec = JobSpec.EMPTY;
+      plan.jobMemory.ended(this);
       return Stream.concat(
               Stream.of(closed),
               parts.takeStored().stream().filter(p -> p > 0).mapToObj(this::deletedPart))
--- a/core/src/main/java/dev/toucanstall/core/plan/JobRules.java
+++ b/core/src/main/java/dev/toucanstall/core/plan/JobRules.java
@@ -226,7 +226,7 @@
             .filter(j -> now.wallMs() - j.endedMs > RETENTION_MS)
             .toList();
     for (Job job : expired) {
-      plan.jobs.remove(job.id);
+      plan.remove(job.id);
       plan.ledger.addRecord(new JobRecord.Forgotten(job.id));
     }
   }
--- a/core/src/main/java/dev/toucanstall/core/plan/Plan.java
+++ b/core/src/main/java/dev/toucanstall/core/plan/Plan.java
@@ -60,6 +60,9 @@
 
   final OpenJobs openJobs = new OpenJobs();
 
+  /** Bound for the memory of all jobs. */
+  final JobMemory jobMemory = new JobMemory();
+
   /** Maintenance waves by number. */
   final Map<Integer, Wave> waves = new LinkedHashMap<>();
 
@@ -267,7 +270,8 @@
         tasks[TaskPhase.WAITING.ordinal()],
         tasks[TaskPhase.ORDERED.ordinal()],
         tasks[TaskPhase.RUNNING.ordinal()],
-        tasks[TaskPhase.STOPPING.ordinal()]);
+        tasks[TaskPhase.STOPPING.ordinal()],
+        jobMemory.usedBytes());
   }
 
   /**
@@ -336,6 +340,19 @@
   void add(Job job) {
     job.sequence = nextJobNumber++;
     jobs.put(job.id, job);
+    jobMemory.opened(job);
+  }
+
+  /** Adds a job that has ended and is remembered for queries only. */
+  void addEnded(Job job) {
+    jobs.put(job.id, job);
+    jobMemory.ended(job);
+  }
+
+  /** Forgets a job. */
+  void remove(String job) {
+    jobs.remove(job);
+    jobMemory.removed(job);
   }
 
   /** Adds a job to the open jobs and marks its service for placement. */
--- a/core/src/main/java/dev/toucanstall/core/plan/PlanLoad.java
+++ b/core/src/main/java/dev/toucanstall/core/plan/PlanLoad.java
@@ -11,6 +11,7 @@
  * @param ordered tasks whose start is not confirmed
  * @param running tasks that run
  * @param stopping tasks that are being stopped
+ * @param jobBytes upper bound for the memory of all jobs, in bytes
  */
 public record PlanLoad(
     long passes,
@@ -20,4 +21,5 @@
     int waiting,
     int ordered,
     int running,
-    int stopping) {}
+    int stopping,
+    long jobBytes) {}
--- a/core/src/main/java/dev/toucanstall/core/plan/Recovery.java
+++ b/core/src/main/java/dev/toucanstall/core/plan/Recovery.java
@@ -45,7 +45,7 @@
         }
         case JobRecord.OpenMoves open -> open.moves().forEach(m -> plan.moves.restore(m, now));
         case JobRecord.OpenMaintenance open -> MaintenanceOrderRules.restore(plan, open, now);
-        case JobRecord.Forgotten forgotten -> plan.jobs.remove(forgotten.job());
+        case JobRecord.Forgotten forgotten -> plan.remove(forgotten.job());
       }
     }
     List.copyOf(plan.jobs.values()).forEach(job -> settle(plan, job, now));
@@ -53,15 +53,14 @@
 
   /** Restores a closed job, which is remembered for queries only. */
   private static void restore(Plan plan, JobRecord.Closed closed) {
-    JobSpec emptySpec = new JobSpec("", List.of(), 1, 0, 0);
     Job job =
         new Job(
             plan,
             new JobRecord.Submitted(
-                closed.job(), closed.queue(), "", "", closed.endedMs(), emptySpec));
+                closed.job(), closed.queue(), "", "", closed.endedMs(), JobSpec.EMPTY));
     job.phase = closed.phase();
     job.endedMs = closed.endedMs();
-    plan.jobs.put(job.id, job);
+    plan.addEnded(job);
   }
 
   /** Restores the progress of a job. */
--- a/core/src/test/java/dev/toucanstall/core/plan/PlanTest.java
+++ b/core/src/test/java/dev/toucanstall/core/plan/PlanTest.java
@@ -75,7 +75,7 @@
     sim.submit("j", PlanSimulation.step(4, 1_000), PlanSimulation.step(3, 1_000, 0));
     sim.run(300);
     PlanLoad load = Objects.requireNonNull(sim.planner).plan.load();
-    assertThat(load).isEqualTo(new PlanLoad(load.passes(), 1, 2, 1, 3, 0, 4, 0));
+    assertThat(load).isEqualTo(new PlanLoad(load.passes(), 1, 2, 1, 3, 0, 4, 0, load.jobBytes()));
     assertThat(load.passes()).isAtLeast(1);
   }
 
--- a/entry/src/main/java/dev/toucanstall/entry/node/ControlLoad.java
+++ b/entry/src/main/java/dev/toucanstall/entry/node/ControlLoad.java
@@ -206,7 +206,8 @@
         .with("waiting", load.waiting())
         .with("ordered", load.ordered())
         .with("running", load.running())
-        .with("stopping", load.stopping());
+        .with("stopping", load.stopping())
+        .with("job-bytes", load.jobBytes());
   }
 
   private long takeCpuNanos() {
--- a/entry/src/main/java/dev/toucanstall/entry/node/NodeMetrics.java
+++ b/entry/src/main/java/dev/toucanstall/entry/node/NodeMetrics.java
@@ -75,6 +75,7 @@
     registerPlanGauge(target, "toucanstall.plan.tasks.ordered", PlanLoad::ordered);
     registerPlanGauge(target, "toucanstall.plan.tasks.running", PlanLoad::running);
     registerPlanGauge(target, "toucanstall.plan.tasks.stopping", PlanLoad::stopping);
+    registerPlanGauge(target, "toucanstall.plan.jobs.bytes", PlanLoad::jobBytes);
     registerGauge(
         target,
         "toucanstall.configuration.age.seconds",
