Send a restored start again instead of taking its absence for its end

The next planner waited 0.4 to 0.8 s for lists that show whether an ordered run of its predecessor had started. It now sends the same start again under its own token once a first list lacks it: wherever a copy of the predecessor's is on its way, it is the same run on the same backend server.

--- a/core/src/main/java/dev/toucanstall/core/plan/OrderResultRules.java
+++ b/core/src/main/java/dev/toucanstall/core/plan/OrderResultRules.java
@@ -212,16 +212,14 @@
         findBound(plan, server, stopped.task(), stopped.run())
             .filter(t -> t.phase == TaskPhase.STOPPING);
     switch (stopped.result()) {
-      case OrderResult.Obeyed obeyed ->
-          task.ifPresent(t -> t.absenceConclusiveAfterMs = now.steadyMs());
+      case OrderResult.Obeyed obeyed -> task.ifPresent(t -> t.runAbsentAfter(now.steadyMs()));
       case OrderResult.Rejected rejected when isFenced(rejected) && !sameIncarnation ->
           task.ifPresent(t -> t.stopUndelivered = true);
       case OrderResult.Rejected rejected when isFenced(rejected) ->
           plan.emit(new PlanEffect.Resign("a backend server has seen a higher fencing token"));
       case OrderResult.Rejected rejected when isWithoutEffect(rejected) ->
           task.ifPresent(t -> t.stopUndelivered = true);
-      case OrderResult.Rejected rejected ->
-          task.ifPresent(t -> t.absenceConclusiveAfterMs = now.steadyMs());
+      case OrderResult.Rejected rejected -> task.ifPresent(t -> t.runAbsentAfter(now.steadyMs()));
       case OrderResult.OtherLife otherLife -> {
         task.ifPresent(t -> t.stopUndelivered = true);
         otherIncarnationAnswers(plan, server, sameIncarnation, now);
--- a/core/src/main/java/dev/toucanstall/core/plan/Recovery.java
+++ b/core/src/main/java/dev/toucanstall/core/plan/Recovery.java
@@ -109,21 +109,31 @@
     if (!task.phase.bound()) {
       return;
     }
-    task.startUnanswered = task.phase != TaskPhase.RUNNING;
-    task.absenceConclusiveAfterMs = absenceConclusiveAfterMs(task, now);
-    task.orderedMs = now.steadyMs();
+    restoreStart(task, now);
     task.bind(
         plan.servers.computeIfAbsent(
             recorded.server(), id -> unlistedServer(id, recorded, task, now)));
   }
 
   /**
-   * Returns the time after which the absence of a restored run from a list is conclusive. The start
-   * of one that was only ordered may be on its way, and reach a later incarnation that has seen no
-   * fencing token.
+   * Restores what is known of the start of a bound task.
+   *
+   * <p>The start of a run that was only ordered may not have been sent, or be on its way and reach
+   * a later incarnation that has seen no fencing token. So its absence from a list is not
+   * conclusive; the same start is sent again instead, under this planner's token.
    */
-  private static long absenceConclusiveAfterMs(Task task, Now now) {
-    return task.startUnanswered ? now.steadyMs() + LeaseBound.MAX_TRANSIT_MS : now.steadyMs();
+  private static void restoreStart(Task task, Now now) {
+    task.startUnanswered = task.phase != TaskPhase.RUNNING;
+    task.orderedMs = now.steadyMs();
+    if (task.startUnanswered) {
+      task.startArrivesUntilMs = now.steadyMs() + LeaseBound.MAX_TRANSIT_MS;
+    }
+    if (task.phase == TaskPhase.ORDERED) {
+      task.startGivenUpMs = now.steadyMs() - 1;
+      task.absenceConclusiveAfterMs = 0;
+    } else {
+      task.runAbsentAfter(now.steadyMs());
+    }
   }
 
   /**
--- a/core/src/main/java/dev/toucanstall/core/plan/Task.java
+++ b/core/src/main/java/dev/toucanstall/core/plan/Task.java
@@ -73,6 +73,12 @@
    */
   long lastEndListedMs;
 
+  /**
+   * Time until which a start that an earlier planner has sent may arrive, in milliseconds of the
+   * monotonic clock, 0 if there is none.
+   */
+  long startArrivesUntilMs;
+
   /** Time at which the start was last sent or confirmed, in milliseconds of the monotonic clock. */
   long orderedMs;
 
@@ -109,6 +115,16 @@
     return avoidedServers.contains(candidate.entry.id());
   }
 
+  /**
+   * Takes note that a list which is requested after a time shows the run if it still exists, but
+   * for a start of an earlier planner that may yet arrive.
+   *
+   * @param timeMs the time, in milliseconds of the monotonic clock
+   */
+  void runAbsentAfter(long timeMs) {
+    absenceConclusiveAfterMs = Math.max(timeMs, startArrivesUntilMs);
+  }
+
   /**
    * Returns whether the newest run was started as far as known, but no answer or list has shown by
    * which incarnation.
@@ -161,6 +177,7 @@
     server = null;
     startUnanswered = false;
     startsSent = 0;
+    startArrivesUntilMs = 0;
     startGivenUpMs = 0;
     stopSent = false;
     stopUndelivered = false;
