List the start that leaves just after an acknowledgement as known red

Cause: has a renewal that acknowledges await the answers to starts that left before it. A start that leaves just after it, in the same millisecond, may still reach a later incarnation while the renewal waits there. No trace shows that the other order is allowed, so the check is back, whole.

--- a/core/src/test/java/dev/toucanstall/core/plan/AcknowledgementAtRestartTest.java
+++ b/core/src/test/java/dev/toucanstall/core/plan/AcknowledgementAtRestartTest.java
@@ -2,7 +2,9 @@
 
 import static com.google.common.truth.Truth.assertThat;
 
+import java.util.ArrayList;
 import java.util.List;
+import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 
 /**
@@ -107,32 +109,58 @@
     assertThat(sim.completed.stream().filter(t -> t.job().equals("k")).toList()).hasSize(1);
   }
 
-  /**
-   * Guards against an end of a later incarnation that is forgotten unread: a renewal that
-   * acknowledges leaves just after a start, both reach the later incarnation, and the planner is
-   * lost before the answer to the start shows the restart (NodeRandomTest, seed 890153).
-   */
-  @Test
-  void acknowledgementDoesNotFollowUnansweredStart() {
+  /** Lets jobs arrive steadily, and returns the orders of each millisecond. */
+  private List<List<PlanEffect>> ordersUnderSteadyArrivals() {
     sim.renewalsWait = true;
     sim.addServer("w1", 10_000);
     sim.electPlanner();
-    int acknowledgements = 0;
+    List<List<PlanEffect>> orders = new ArrayList<>();
     for (int i = 0; i < JOBS; i++) {
       sim.submit("j" + i, PlanSimulation.step(1, 1_000));
       for (int j = 0; j < SUBMISSION_INTERVAL_MS; j++) {
         int sent = sim.effects.size();
         sim.run(1);
-        List<PlanEffect> orders = sim.effects.subList(sent, sim.effects.size());
-        boolean acknowledges = orders.stream().anyMatch(AcknowledgementAtRestartTest::acknowledges);
-        boolean acknowledgesAfterStart =
-            orders.stream()
-                .dropWhile(o -> !(o instanceof PlanEffect.Start))
-                .anyMatch(AcknowledgementAtRestartTest::acknowledges);
-        assertThat(acknowledgesAfterStart).isFalse();
-        acknowledgements += acknowledges ? 1 : 0;
+        orders.add(List.copyOf(sim.effects.subList(sent, sim.effects.size())));
       }
     }
-    assertThat(acknowledgements).isAtLeast(JOBS / 4);
+    return orders;
+  }
+
+  private static boolean anyAcknowledges(List<PlanEffect> orders) {
+    return orders.stream().anyMatch(AcknowledgementAtRestartTest::acknowledges);
+  }
+
+  private static boolean isStart(PlanEffect order) {
+    return order instanceof PlanEffect.Start;
+  }
+
+  /**
+   * Guards against an end of a later incarnation that is forgotten unread: a renewal that
+   * acknowledges leaves just after a start, both reach the later incarnation, and the planner is
+   * lost before the answer to the start shows the restart (NodeRandomTest, seed 890153).
+   */
+  @Test
+  void acknowledgementDoesNotFollowUnansweredStart() {
+    List<List<PlanEffect>> orders = ordersUnderSteadyArrivals();
+    for (List<PlanEffect> together : orders) {
+      assertThat(anyAcknowledges(together.stream().dropWhile(o -> !isStart(o)).toList())).isFalse();
+    }
+    assertThat(orders.stream().filter(AcknowledgementAtRestartTest::anyAcknowledges).count())
+        .isAtLeast(JOBS / 4);
+  }
+
+  /**
+   * Guards against the same with the two orders in either sequence: a start that leaves just after
+   * such a renewal may reach the later incarnation while the renewal waits there.
+   */
+  @Test
+  @Tag("known-red")
+  void acknowledgementDoesNotLeaveTogetherWithStart() {
+    for (List<PlanEffect> together : ordersUnderSteadyArrivals()) {
+      assertThat(
+              anyAcknowledges(together)
+                  && together.stream().anyMatch(AcknowledgementAtRestartTest::isStart))
+          .isFalse();
+    }
   }
 }
