Await an unknown run of a lasting task from the last sign of life

What callers saw: a lasting task with two runs at once for some seconds. Its backend server was lost for good, the start of its next run had no answer, and a later incarnation behind a cut carried it out.

Cause: such a task waits 8.5 s from the last list with its former run; without such a list, as after a loss, it waited for the known leases only. And a renewal that left with the start kept the task for 5.6 s at an idle backend server that had died unnoticed.

Change: the lists of a backend server are requested at once, without a lease, when a later run of a lasting task is bound to it. The task waits until 6.5 s after the request of the last answered lists. Why: only a backend server that was up can carry the start out later. If it was, the wait covers a cut of 6 s, and the first answer after it shows the run; if it was not, only the start's lease of 2.5 s is awaited.

--- a/core/src/main/java/dev/toucanstall/core/plan/Placement.java
+++ b/core/src/main/java/dev/toucanstall/core/plan/Placement.java
@@ -226,6 +226,9 @@
       task.absenceConclusiveAfterMs = 0;
       task.orderedMs = now.steadyMs();
       task.bind(server);
+      if (task.step.lasting() && task.run > 1) {
+        server.requestProofOfLife();
+      }
       task.job.markRunning();
       plan.ledger.changed(task.job);
     }
--- a/core/src/main/java/dev/toucanstall/core/plan/Server.java
+++ b/core/src/main/java/dev/toucanstall/core/plan/Server.java
@@ -61,6 +61,12 @@
    */
   private long inDoubtSinceMs;
 
+  /**
+   * Whether the next call asks for the lists alone: it gives no lease, acknowledges nothing and is
+   * answered at once.
+   */
+  boolean listsOnly;
+
   /** Clock of this incarnation. */
   final ServerClock clock;
 
@@ -307,6 +313,22 @@
     }
   }
 
+  /**
+   * Has the lists requested at once, without a lease, to learn whether the backend server is up and
+   * which incarnation it is: nothing may have been heard of it for long if it had no tasks.
+   */
+  void requestProofOfLife() {
+    listsOnly = true;
+    requestLists();
+  }
+
+  /** Takes note that a call for a lease or for the lists is sent. */
+  void callSent(long nowMs) {
+    listsOnly = false;
+    renewalPending = true;
+    renewalSentMs = nowMs;
+  }
+
   /** Has the lists requested at once, also while a lease renewal is under way. */
   void requestLists() {
     renewalPending = false;
--- a/core/src/main/java/dev/toucanstall/core/plan/ServerRules.java
+++ b/core/src/main/java/dev/toucanstall/core/plan/ServerRules.java
@@ -41,6 +41,12 @@
    */
   private static final long MAX_LASTING_OUTAGE_MS = 8_500;
 
+  /**
+   * Longest time that such a task awaits an unknown run after its backend server was up, in
+   * milliseconds. Users bear its absence for 7 s after the last disruption, which was later.
+   */
+  private static final long MAX_LASTING_OUTAGE_AFTER_CONTACT_MS = 6_500;
+
   /** Pause before the next renewal of a backend server that did not answer, in milliseconds. */
   private static final long UNRESPONSIVE_PAUSE_MS = 400;
 
@@ -302,7 +308,9 @@
    *
    * <p>A start without an answer may have been carried out by a later incarnation, and nothing but
    * its leases' expiry shows that the run has ended. A lasting task that has served before can't be
-   * out of service that long, so it waits only as far as its outage allows.
+   * out of service that long, so it waits only as far as its outage allows: counted from the end of
+   * its last run if that was listed, and from the last time at which the backend server was
+   * certainly up, as whatever took its answers away came later.
    */
   private static long releasableMs(Task task, Server server) {
     long knownMs = server.leases.expiredMs();
@@ -313,9 +321,9 @@
     if (!task.step.lasting() || task.run == 1) {
       return unknownMs;
     }
-    return task.lastEndListedMs == 0
-        ? knownMs
-        : Math.clamp(task.lastEndListedMs + MAX_LASTING_OUTAGE_MS, knownMs, unknownMs);
+    long afterEndMs = task.lastEndListedMs == 0 ? 0 : task.lastEndListedMs + MAX_LASTING_OUTAGE_MS;
+    long afterContactMs = server.listRequestedMs + MAX_LASTING_OUTAGE_AFTER_CONTACT_MS;
+    return Math.clamp(Math.max(afterEndMs, afterContactMs), knownMs, unknownMs);
   }
 
   /**
@@ -343,6 +351,9 @@
     if (server.renewalPending || now.steadyMs() < server.nextRenewalMs) {
       return false;
     }
+    if (server.listsOnly) {
+      return true;
+    }
     if (awaitsStartAnswers(server, now)) {
       return false;
     }
@@ -381,6 +392,7 @@
         server.tasks.stream().anyMatch(t -> t.phase != TaskPhase.ORDERED || t.isStartUnconfirmed());
     boolean renews =
         !server.tasks.isEmpty()
+            && !server.listsOnly
             && server.unresponsiveSinceMs == 0
             && !server.isIncarnationInDoubt();
     long leaseExpiryMs = renews ? server.extendLease(leaseMs, now.steadyMs()) : 0;
@@ -388,15 +400,15 @@
         server.tasks.stream().anyMatch(ServerRules::isStartingUp)
             ? START_UP_WAIT_MS
             : RENEWAL_WAIT_MS;
-    long acknowledgedCompletion = acknowledgement(server, now);
+    long acknowledgedCompletion = server.listsOnly ? 0 : acknowledgement(server, now);
     boolean waits =
         server.answered
             && hasRuns
+            && !server.listsOnly
             && server.unresponsiveSinceMs == 0
             && !server.isIncarnationInDoubt();
     long waitMs = waits ? maxWaitMs : 0;
-    server.renewalPending = true;
-    server.renewalSentMs = now.steadyMs();
+    server.callSent(now.steadyMs());
     plan.emit(
         new PlanEffect.Hold(
             server.entry,
--- a/core/src/test/java/dev/toucanstall/core/plan/LeaseOnFormerClockTest.java
+++ b/core/src/test/java/dev/toucanstall/core/plan/LeaseOnFormerClockTest.java
@@ -23,9 +23,18 @@
   /** Time from a late start to its being carried out, in milliseconds. */
   private static final long LATE_START_MS = 2_500;
 
-  /** Time for which a backend server is cut off, in milliseconds. */
+  /** Time from a start to the end of the cut of its backend server, in milliseconds. */
   private static final long CUT_MS = 5_800;
 
+  /** Time from a start to the loss of its backend server, in milliseconds. */
+  private static final long LOST_AFTER_MS = 300;
+
+  /**
+   * Longest time for which a lasting task may be without a run after the last disruption, in
+   * milliseconds.
+   */
+  private static final long MAX_CALM_OUTAGE_MS = 7_000;
+
   /**
    * Longest time for which a lasting task that has served may be without a run, in milliseconds.
    */
@@ -282,4 +291,92 @@
     assertThat(sim.now().steadyMs() - stoppedMs).isAtMost(MAX_OUTAGE_MS);
     assertThat(other.running).hasSize(1);
   }
+
+  /**
+   * Has a lasting task serve on "w0", which is lost for good once "w1" has long been up, and lets
+   * time pass until the start of the next run is on its way to "w1".
+   */
+  private void startNextRunAfterLoss() {
+    sim.addServer("w0", 10_000);
+    sim.electPlanner();
+    sim.submit("j", PlanSimulation.lastingStep(1, 1_000, 0));
+    sim.run(2_000);
+    sim.addServer("w1", 10_000);
+    sim.run(UPTIME_MS);
+    final SimulatedServer first = sim.requireServer("w0");
+    assertThat(first.running).hasSize(1);
+    sim.holdsBack = order -> order instanceof PlanEffect.Start;
+    first.crash();
+    first.reachable = false;
+    sim.run(2_000);
+    runUntilHeldBack();
+  }
+
+  /**
+   * Guards against two runs of a lasting task at once within one term: its backend server is lost
+   * for good, and the start of its next run is carried out seconds late by a later incarnation
+   * behind a cut that is longer than all leases of which the planner knows.
+   */
+  @Test
+  void leaseOfLateNextStartOfLastingTaskBehindCutIsAwaited() {
+    startNextRunAfterLoss();
+    sim.run(LOST_AFTER_MS);
+    crashSilently();
+    final SimulatedServer later = restartUnlisted();
+    later.reachable = false;
+    final SimulatedServer other = sim.addServer("w2", 10_000);
+    sim.run(LATE_START_MS - LOST_AFTER_MS);
+    later.reachable = true;
+    sim.deliverOnItsWay();
+    later.reachable = false;
+    assertThat(later.running).hasSize(1);
+    sim.run(CUT_MS - LATE_START_MS);
+    assertThat(other.running).isEmpty();
+    later.reachable = true;
+    sim.run(ALL_LEASES_MS);
+    assertThat(sim.violations).isEmpty();
+    assertThat(later.running.size() + other.running.size()).isEqualTo(1);
+  }
+
+  /**
+   * Guards against a lasting task without a run for longer than it bears after a second loss: the
+   * backend server of its next start is lost for good while the start is on its way.
+   */
+  @Test
+  void lastingTaskIsBackInTimeAfterSecondLoss() {
+    startNextRunAfterLoss();
+    sim.run(LOST_AFTER_MS);
+    sim.heldBack.clear();
+    final SimulatedServer other = replace(crashSilently());
+    sim.run(MAX_CALM_OUTAGE_MS);
+    assertThat(other.running).hasSize(1);
+  }
+
+  /**
+   * Guards against a lasting task without a run for longer than it bears: the idle backend server
+   * to which it is started next was lost as well, which the planner has not noticed.
+   */
+  @Test
+  void lastingTaskIsBackInTimeAfterStartAtIdleServerThatWasLost() {
+    sim.reportIntervalMs = 1_500;
+    sim.addServer("w0", 10_000);
+    sim.electPlanner();
+    sim.submit("j", PlanSimulation.lastingStep(1, 1_000, 0));
+    sim.run(2_000);
+    sim.addServer("w1", 10_000);
+    sim.run(UPTIME_MS);
+    final SimulatedServer first = sim.requireServer("w0");
+    assertThat(first.running).hasSize(1);
+    first.crash();
+    first.reachable = false;
+    sim.run(3_000);
+    crashSilently();
+    final long lostMs = sim.now().steadyMs();
+    final int seen = sim.effects.size();
+    sim.runUntil(
+        () -> sim.effects.stream().skip(seen).anyMatch(PlanEffect.Start.class::isInstance));
+    final SimulatedServer other = sim.addServer("w2", 10_000);
+    sim.run(lostMs + MAX_CALM_OUTAGE_MS - sim.now().steadyMs());
+    assertThat(other.running).hasSize(1);
+  }
 }
