Let a placement pass cost what can be placed, not what waits

What callers saw: with 18 accepted jobs of 64 steps, 300 occurrences due at once and all backend servers busy, submissions took up to 3 s; of 50 tries 36 got 503 or 504 and 4 nothing.

Cause: each pass went over all steps of all occurrences, and the demand for machines over the same each 0.1 s, with the remaining critical path of the job computed anew for each step. By control-load a pass took 520 to 530 ms on average there, and each event brought one. Ruled out: the store (4 ms an append), memory (66.7 MB counted).

Change: JobBacklog counts startable and bound tasks by job and step over all occurrences, updated with each change of a task. A step of a later occurrence is tried only if that of the one before was placed or has a limit of its own. A step knows how many steps before it are unfinished. Demand and PlanLoad read the counts. Why: the cost depends on the jobs and their different steps; nothing visits what waits behind a step that has just found no room.

--- a/core/src/main/java/dev/toucanstall/core/job/JobSpec.java
+++ b/core/src/main/java/dev/toucanstall/core/job/JobSpec.java
@@ -1,5 +1,6 @@
 package dev.toucanstall.core.job;
 
+import java.util.ArrayList;
 import java.util.List;
 
 /**
@@ -32,6 +33,21 @@
     return startAtMs + occurrence * intervalMs;
   }
 
+  /**
+   * Returns the steps that depend on each step.
+   *
+   * @return the numbers of the depending steps, by the number of the step that they depend on
+   */
+  public List<List<Integer>> successors() {
+    List<List<Integer>> successors = new ArrayList<>();
+    steps.forEach(step -> successors.add(new ArrayList<>()));
+    for (int s = 0; s < steps.size(); s++) {
+      int successor = s;
+      steps.get(s).after().stream().distinct().forEach(p -> successors.get(p).add(successor));
+    }
+    return successors;
+  }
+
   /**
    * Returns whether the job has a start time.
    *
--- a/core/src/main/java/dev/toucanstall/core/plan/Demand.java
+++ b/core/src/main/java/dev/toucanstall/core/plan/Demand.java
@@ -2,6 +2,7 @@
 
 import dev.toucanstall.core.job.Resources;
 import dev.toucanstall.core.job.StepSpec;
+import java.util.function.LongSupplier;
 
 /**
  * Demand of a service's queues for machines. Immutable.
@@ -59,36 +60,53 @@
     }
 
     void add(Job job) {
-      for (Occurrence occurrence : job.occurrences()) {
-        for (int s = 0; s < occurrence.steps.size(); s++) {
-          StepTasks step = occurrence.steps.get(s);
-          long startable = countStartable(job, occurrence, s);
-          add(job, step.spec, step.counts.bound(), startable);
-          if (step.spec.perServer() > 0) {
-            long tasks = step.counts.bound() + startable;
-            minServers = Math.max(minServers, (int) ceilDiv(tasks, step.spec.perServer()));
-          }
+      LongSupplier drainMs = drainMsOnce(job);
+      boolean due = job.isDue(0, now.wallMs());
+      for (JobBacklog.Step counted : job.backlog.steps()) {
+        StepSpec step = job.spec.steps().get(counted.number);
+        int startable = due && mayStart(job, step) ? counted.startable() : 0;
+        add(job, step, counted.bound(), startable, drainMs);
+        if (step.perServer() > 0) {
+          int tasks = Math.min(counted.bound() + startable, step.count());
+          minServers = Math.max(minServers, Math.ceilDiv(tasks, step.perServer()));
         }
       }
       int uncreated = job.uncreatedDue(now.wallMs());
       if (uncreated > 0) {
         for (StepSpec step : job.spec.steps()) {
           boolean first = step.after().isEmpty();
-          add(job, step, 0, first && mayStart(job, step) ? (long) uncreated * step.count() : 0);
+          long startable = first && mayStart(job, step) ? (long) uncreated * step.count() : 0;
+          add(job, step, 0, startable, drainMs);
         }
       }
     }
 
-    private void add(Job job, StepSpec step, long bound, long startable) {
+    private void add(Job job, StepSpec step, long bound, long startable, LongSupplier drainMs) {
       if (step.lasting()) {
         lasting = lasting.plus(ResourceAmount.of(step.reserved()).times(bound + startable));
       } else if (startable > 0) {
         double work = (double) startable * plan.durations.expectedMs(job.queue, step);
         backlog =
-            backlog.plus(ResourceAmount.of(step.reserved()).times(work / (double) drainMs(job)));
+            backlog.plus(
+                ResourceAmount.of(step.reserved()).times(work / (double) drainMs.getAsLong()));
       }
     }
 
+    /** Returns a supplier of {@link #drainMs} that computes it when it is first asked. */
+    private LongSupplier drainMsOnce(Job job) {
+      return new LongSupplier() {
+        private long drainMs;
+
+        @Override
+        public long getAsLong() {
+          if (drainMs == 0) {
+            drainMs = drainMs(job);
+          }
+          return drainMs;
+        }
+      };
+    }
+
     /**
      * Returns the time left for a job's waiting tasks, in milliseconds, if the job is to meet its
      * objective and its remaining steps follow without delay; at least {@link #MIN_DRAIN_MS}. A job
@@ -101,24 +119,12 @@
     }
 
     /**
-     * Counts the tasks that more capacity would let start. A task does not count if its step is not
-     * ready, its client account's quota is used up or its job is beyond the account's share.
+     * Returns whether more capacity would let a task of a step start: its client account's quota is
+     * not used up, and its job is not beyond the account's share.
      */
-    private long countStartable(Job job, Occurrence occurrence, int number) {
-      StepTasks step = occurrence.steps.get(number);
-      boolean startable =
-          job.isStepReady(occurrence, number, now.wallMs()) && mayStart(job, step.spec);
-      return startable ? step.counts.waiting() : 0;
-    }
-
-    /** Returns whether a task of a step is within its account's quota and share. */
     private boolean mayStart(Job job, StepSpec step) {
       return !job.beyondShare
           && plan.quotas.used(job.account).plus(step.need()).isWithin(plan.quota(job.account));
     }
-
-    private static long ceilDiv(long dividend, long divisor) {
-      return (dividend + divisor - 1) / divisor;
-    }
   }
 }
--- a/core/src/main/java/dev/toucanstall/core/plan/Job.java
+++ b/core/src/main/java/dev/toucanstall/core/plan/Job.java
@@ -16,6 +16,7 @@
 import java.util.Optional;
 import java.util.TreeMap;
 import java.util.stream.Stream;
+import org.jspecify.annotations.Nullable;
 
 /** A job with its tasks and their phases. Owned by the control thread. */
 final class Job {
@@ -82,6 +83,15 @@
 
   private int remainingTasks;
 
+  /** Number of waiting tasks of current occurrences. */
+  private int waitingTasks;
+
+  /** Tasks of current occurrences that can be placed or are bound, by step. */
+  final JobBacklog backlog = new JobBacklog();
+
+  /** Numbers of the steps that depend on a step, by its number; null until first asked for. */
+  private @Nullable List<List<Integer>> successors;
+
   /** Number of tasks of each occurrence. */
   final int tasksPerOccurrence;
 
@@ -137,6 +147,7 @@
   private Occurrence createNext() {
     Occurrence created = new Occurrence(this, nextOccurrence++);
     current.put(created.number, created);
+    waitingTasks += tasksPerOccurrence;
     if (created.hasReadyTask()) {
       readyOccurrences++;
     }
@@ -173,6 +184,8 @@
   /** Drops the tasks of a job that has ended and has no bound task. */
   void dropTasks() {
     current.clear();
+    backlog.clear();
+    waitingTasks = 0;
     readyOccurrences = 0;
     hasReadyTask = false;
   }
@@ -195,10 +208,17 @@
 
   /** Returns the number of waiting tasks of current occurrences. */
   int waitingTasks() {
-    return current.values().stream()
-        .flatMap(k -> k.steps.stream())
-        .mapToInt(s -> s.counts.waiting())
-        .sum();
+    return waitingTasks;
+  }
+
+  /** Returns the numbers of the steps that depend on a step. */
+  List<Integer> successors(int step) {
+    List<List<Integer>> all = successors;
+    if (all == null) {
+      all = spec.successors();
+      successors = all;
+    }
+    return all.get(step);
   }
 
   /** Returns a task that has an object, or empty. */
@@ -248,18 +268,19 @@
   void taskPhaseChanged(Task task, TaskPhase from, TaskPhase to) {
     begun |= to == TaskPhase.RUNNING || to == TaskPhase.DONE;
     remainingTasks -= to == TaskPhase.DONE ? 1 : 0;
-    boolean readinessMayChange =
-        from == TaskPhase.WAITING || to == TaskPhase.WAITING || to == TaskPhase.DONE;
-    if (readinessMayChange) {
-      findOccurrence(task.key.occurrence()).ifPresent(this::updateReady);
-      plan.openJobs.updateReady(this);
-    }
+    waitingTasks += (to == TaskPhase.WAITING ? 1 : 0) - (from == TaskPhase.WAITING ? 1 : 0);
+    updateReady(task.siblings, to == TaskPhase.DONE);
+    plan.openJobs.updateReady(this);
   }
 
-  /** Updates what is known of an occurrence, and drops its object once it is done. */
-  private void updateReady(Occurrence occurrence) {
+  /** Updates what is known of a step's occurrence, and drops its object once it is done. */
+  private void updateReady(StepTasks changed, boolean finished) {
+    Occurrence occurrence = changed.occurrence;
+    if (current.get(occurrence.number) != occurrence) {
+      return;
+    }
     boolean before = occurrence.hasReadyTask();
-    occurrence.updateReady();
+    occurrence.phaseChanged(changed, finished);
     readyOccurrences += (occurrence.hasReadyTask() ? 1 : 0) - (before ? 1 : 0);
     hasReadyTask = readyOccurrences > 0;
     if (occurrence.allDone()) {
@@ -268,12 +289,9 @@
     }
   }
 
-  /**
-   * Returns whether the tasks of a step may start: its occurrence is due and all steps before it
-   * are done.
-   */
-  boolean isStepReady(Occurrence occurrence, int step, long wallMs) {
-    return wallMs >= spec.dueMs(occurrence.number) && occurrence.predecessorsDone(step);
+  /** Returns whether an occurrence is due. */
+  boolean isDue(int occurrence, long wallMs) {
+    return wallMs >= spec.dueMs(occurrence);
   }
 
   JobRecord.Submitted submissionRecord() {
--- a/core/src/main/java/dev/toucanstall/core/plan/Occurrence.java
+++ b/core/src/main/java/dev/toucanstall/core/plan/Occurrence.java
@@ -1,6 +1,5 @@
 package dev.toucanstall.core.plan;
 
-import dev.toucanstall.core.job.StepSpec;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
@@ -14,20 +13,37 @@
 
   final List<StepTasks> steps;
 
-  /** Whether some waiting task belongs to a step whose predecessors are done. */
-  private boolean hasReadyTask;
+  private final Job job;
+
+  /** Number of steps with waiting tasks whose predecessors are done. */
+  private int startableSteps;
+
+  private int unfinishedSteps;
 
   /** Creates an occurrence whose tasks all wait. */
   Occurrence(Job job, int number) {
+    this.job = job;
     this.number = number;
     List<StepTasks> all = new ArrayList<>(job.spec.steps().size());
     int position = number * job.tasksPerOccurrence;
     for (int s = 0; s < job.spec.steps().size(); s++) {
-      all.add(new StepTasks(job, number, s, position));
+      all.add(new StepTasks(job, this, s, position));
       position += job.spec.steps().get(s).count();
     }
     this.steps = List.copyOf(all);
-    updateReady();
+    for (StepTasks step : steps) {
+      unfinishedSteps += step.counts.done() ? 0 : 1;
+      step.setUnfinishedPredecessors(countUnfinishedPredecessors(step));
+      update(step);
+    }
+  }
+
+  private int countUnfinishedPredecessors(StepTasks step) {
+    if (step.spec.after().isEmpty()) {
+      return 0;
+    }
+    return (int)
+        step.spec.after().stream().distinct().filter(s -> !steps.get(s).counts.done()).count();
   }
 
   /** Returns the tasks that have an object, in the order of their positions. */
@@ -40,31 +56,39 @@
     return step >= 0 && step < steps.size() ? Optional.of(steps.get(step)) : Optional.empty();
   }
 
+  /** Returns whether some waiting task belongs to a step whose predecessors are done. */
   boolean hasReadyTask() {
-    return hasReadyTask;
+    return startableSteps > 0;
   }
 
   /** Returns whether all tasks are done. */
   boolean allDone() {
-    return steps.stream().allMatch(s -> s.counts.done());
+    return unfinishedSteps == 0;
   }
 
-  /** Computes anew whether some waiting task belongs to a step whose predecessors are done. */
-  void updateReady() {
-    hasReadyTask = false;
-    for (int s = 0; s < steps.size() && !hasReadyTask; s++) {
-      hasReadyTask = steps.get(s).counts.waiting() > 0 && predecessorsDone(s);
+  /**
+   * Updates the counters after a task has changed its phase, those of the steps after it if its
+   * step is done now.
+   *
+   * @param changed the tasks of its step
+   * @param finished whether the task is done now
+   */
+  void phaseChanged(StepTasks changed, boolean finished) {
+    update(changed);
+    if (!finished || !changed.counts.done()) {
+      return;
+    }
+    unfinishedSteps--;
+    for (int successor : job.successors(changed.number)) {
+      steps.get(successor).predecessorDone();
+      update(steps.get(successor));
     }
   }
 
-  /** Returns whether all steps are done that a step depends on. */
-  boolean predecessorsDone(int step) {
-    StepSpec spec = steps.get(step).spec;
-    for (int predecessor : spec.after()) {
-      if (!steps.get(predecessor).counts.done()) {
-        return false;
-      }
-    }
-    return true;
+  private void update(StepTasks step) {
+    boolean before = step.countedStartable > 0;
+    job.backlog.update(step);
+    boolean after = step.countedStartable > 0;
+    startableSteps += (after ? 1 : 0) - (before ? 1 : 0);
   }
 }
--- a/core/src/main/java/dev/toucanstall/core/plan/Placement.java
+++ b/core/src/main/java/dev/toucanstall/core/plan/Placement.java
@@ -7,7 +7,6 @@
 import dev.toucanstall.core.job.TaskPhase;
 import java.util.ArrayList;
 import java.util.Comparator;
-import java.util.Iterator;
 import java.util.List;
 import java.util.NavigableMap;
 import java.util.Optional;
@@ -125,21 +124,11 @@
      * it.
      */
     boolean mayFit(Job job) {
-      for (Occurrence occurrence : job.occurrences()) {
-        if (occurrence.hasReadyTask() && mayFit(job, occurrence)) {
-          return true;
-        }
-      }
-      return false;
-    }
-
-    private boolean mayFit(Job job, Occurrence occurrence) {
-      for (int s = 0; s < occurrence.steps.size(); s++) {
-        StepTasks step = occurrence.steps.get(s);
-        if (step.counts.waiting() > 0
-            && step.spec.reserved().cpu() <= maxFreeCpu
-            && withinQuota(job, step.spec.need())
-            && job.isStepReady(occurrence, s, now.wallMs())) {
+      for (JobBacklog.Step step : job.backlog.steps()) {
+        StepSpec spec = job.spec.steps().get(step.number);
+        if (step.startable() > 0
+            && spec.reserved().cpu() <= maxFreeCpu
+            && withinQuota(job, spec.need())) {
           return true;
         }
       }
@@ -148,40 +137,40 @@
 
     /** Places the waiting tasks of all ready steps of a job. */
     void place(Job job) {
-      if (plan.queue(job) == null) {
-        return;
-      }
-      for (Occurrence occurrence : List.copyOf(job.occurrences())) {
-        for (int s = 0; s < occurrence.steps.size(); s++) {
-          StepTasks step = occurrence.steps.get(s);
-          if (step.counts.waiting() > 0 && job.isStepReady(occurrence, s, now.wallMs())) {
-            place(job, step);
-          }
-        }
+      if (plan.queue(job) != null) {
+        job.backlog.visitStartable(
+            job, step -> job.isDue(step.occurrence.number, now.wallMs()) && place(job, step));
       }
     }
 
-    /** Places the waiting tasks of a step, until one does not fit. */
-    private void place(Job job, StepTasks step) {
+    /**
+     * Places the waiting tasks of a step, until one does not fit. Returns whether tasks of the same
+     * step of later occurrences may fit: they have the same needs, but their own limit of tasks on
+     * each backend server.
+     */
+    private boolean place(Job job, StepTasks step) {
+      boolean limitedByOccurrence = step.spec.perServer() > 0;
       if (step.spec.gang()) {
-        placeGang(step);
-        return;
+        return placeGang(step) || limitedByOccurrence;
       }
-      for (Iterator<Task> waiting = step.waiting().iterator(); waiting.hasNext(); ) {
-        Task task = waiting.next();
+      Optional<Task> waiting = step.firstWaiting();
+      while (waiting.isPresent()) {
+        Task task = waiting.get();
         if (!withinQuota(job, task.step.need())) {
-          return;
+          return false;
         }
         if (plan.orders.isFull()) {
           plan.servicesToPlace.add(job.service);
-          return;
+          return false;
         }
         Optional<Server> server = chooseServer(step, task);
         if (server.isEmpty()) {
-          return;
+          return limitedByOccurrence;
         }
         startOn(task, server.get());
+        waiting = step.firstWaiting();
       }
+      return true;
     }
 
     private boolean withinQuota(Job job, Resources need) {
@@ -190,10 +179,11 @@
 
     /**
      * Starts a gang if none of its tasks is bound and all of them fit; all get the same run number.
+     * Returns false if they don't fit.
      */
-    private void placeGang(StepTasks step) {
+    private boolean placeGang(StepTasks step) {
       if (step.counts.waiting() < step.size()) {
-        return;
+        return true;
       }
       List<Task> tasks = step.all();
       long run = tasks.stream().mapToLong(t -> t.run).max().orElse(0);
@@ -205,12 +195,13 @@
         if (server.isEmpty()) {
           ordered.forEach(Task::unbind);
           ordered.forEach(t -> t.setPhase(TaskPhase.WAITING));
-          return;
+          return false;
         }
         bind(task, server.get());
         ordered.add(task);
       }
       ordered.forEach(t -> OrderRules.startOnceStored(plan, t));
+      return true;
     }
 
     /** Binds a task to a backend server and orders its start. */
--- a/core/src/main/java/dev/toucanstall/core/plan/Plan.java
+++ b/core/src/main/java/dev/toucanstall/core/plan/Plan.java
@@ -254,13 +254,16 @@
   }
 
   /**
-   * Counts the jobs, tasks and backend servers of this planner. Visits each task of the open jobs.
+   * Counts the jobs, tasks and backend servers of this planner. Visits each open job and each bound
+   * task.
    *
    * @return the counts
    */
   public PlanLoad load() {
     int[] tasks = new int[TaskPhase.values().length];
-    openJobs.all().flatMap(Job::tasks).forEach(task -> tasks[task.phase.ordinal()]++);
+    servers.values().stream()
+        .flatMap(server -> server.tasks.stream())
+        .forEach(task -> tasks[task.phase.ordinal()]++);
     tasks[TaskPhase.WAITING.ordinal()] = openJobs.all().mapToInt(Job::waitingTasks).sum();
     return new PlanLoad(
         passes,
--- a/core/src/main/java/dev/toucanstall/core/plan/StepTasks.java
+++ b/core/src/main/java/dev/toucanstall/core/plan/StepTasks.java
@@ -8,7 +8,6 @@
 import java.util.NavigableMap;
 import java.util.Optional;
 import java.util.TreeMap;
-import java.util.stream.IntStream;
 import java.util.stream.Stream;
 
 /**
@@ -24,9 +23,19 @@
 
   final StepCounts counts;
 
-  private final int occurrence;
+  final Occurrence occurrence;
 
-  private final int number;
+  /** Number of the step in its job, from 0. */
+  final int number;
+
+  /** Number of startable tasks that the job's backlog has counted. */
+  int countedStartable;
+
+  /** Number of bound tasks that the job's backlog has counted. */
+  int countedBound;
+
+  /** Number of steps of the occurrence before this one that are not done. */
+  private int unfinishedPredecessors;
 
   /** Position in the job of the step's first task. */
   private final int firstPosition;
@@ -34,13 +43,16 @@
   /** Tasks that have an object, by index. */
   private final NavigableMap<Integer, Task> present = new TreeMap<>();
 
+  /** Indexes of the tasks that have an object and wait. */
+  private final BitSet waiting = new BitSet(0);
+
   /** Indexes of the tasks that are done and have no object any more. */
   private final BitSet done = new BitSet(0);
 
   /** Index of the first of the tasks that have no object yet; all that follow have none either. */
   private int nextIndex;
 
-  StepTasks(Job job, int occurrence, int number, int firstPosition) {
+  StepTasks(Job job, Occurrence occurrence, int number, int firstPosition) {
     this.job = job;
     this.occurrence = occurrence;
     this.number = number;
@@ -76,14 +88,28 @@
     return List.copyOf(present.values());
   }
 
-  /**
-   * Returns the waiting tasks in the order of their indexes, to be consumed while they are placed.
-   * Objects are created as the stream is consumed.
-   */
-  Stream<Task> waiting() {
-    List<Task> begun = present().filter(t -> t.phase == TaskPhase.WAITING).toList();
-    return Stream.concat(
-        begun.stream(), IntStream.range(nextIndex, size()).mapToObj(i -> createNext()));
+  /** Returns the first waiting task, and creates its object if it has none; empty if none waits. */
+  Optional<Task> firstWaiting() {
+    int index = waiting.nextSetBit(0);
+    if (index >= 0) {
+      return find(index);
+    }
+    return nextIndex < size() ? Optional.of(createNext()) : Optional.empty();
+  }
+
+  /** Takes note of how many steps before this one are not done. */
+  void setUnfinishedPredecessors(int count) {
+    unfinishedPredecessors = count;
+  }
+
+  /** Takes note that one of the steps before this one is done. */
+  void predecessorDone() {
+    unfinishedPredecessors--;
+  }
+
+  /** Returns the number of waiting tasks that may start once their occurrence is due. */
+  int startable() {
+    return unfinishedPredecessors == 0 ? counts.waiting() : 0;
   }
 
   /** Returns a task that is not done, and creates its object if it has none. */
@@ -104,8 +130,9 @@
         new Task(
             this,
             ProgressParts.partOf(firstPosition + index),
-            new TaskKey(job.id, occurrence, number, index));
+            new TaskKey(job.id, occurrence.number, number, index));
     present.put(index, task);
+    waiting.set(index);
     return task;
   }
 
@@ -119,6 +146,7 @@
    */
   void phaseChanged(Task task, TaskPhase from, TaskPhase to) {
     counts.phaseChanged(from, to);
+    waiting.set(task.key.index(), to == TaskPhase.WAITING);
     if (to == TaskPhase.DONE) {
       present.remove(task.key.index());
       done.set(task.key.index());
