Tests: tie the bound of the jobs' memory to the heap of the deploy file

The two stood in two files. JobMemoryTest.boundIsHalfOfTheHeapOfTheDeployFile guards against entry instances with less memory than the jobs may take. It holds on as well: no fault was found.

--- a/core/src/test/java/dev/toucanstall/core/plan/JobMemoryTest.java
+++ b/core/src/test/java/dev/toucanstall/core/plan/JobMemoryTest.java
@@ -9,11 +9,16 @@
 import dev.toucanstall.core.job.JobRecord;
 import dev.toucanstall.core.job.JobSpec;
 import dev.toucanstall.core.job.StepSpec;
+import java.io.IOException;
 import java.lang.management.ManagementFactory;
+import java.nio.file.Files;
+import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.Collections;
 import java.util.List;
 import java.util.Objects;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
 import org.junit.jupiter.api.Test;
 
 /** Tests that what has been accepted fits the memory of any planner. */
@@ -126,4 +131,16 @@
     sim.electPlanner();
     assertThat(Objects.requireNonNull(sim.planner).plan.jobMemory.usedBytes()).isEqualTo(before);
   }
+
+  /**
+   * Guards against entry instances that are started with less memory than the jobs may take: half
+   * of the heap is for calls, messages and records.
+   */
+  @Test
+  void boundIsHalfOfTheHeapOfTheDeployFile() throws IOException {
+    String deployFile = Files.readString(Path.of("..", "deploy", "system.toml"));
+    Matcher heap = Pattern.compile(" -Xmx(\\d+)m ").matcher(deployFile);
+    assertThat(heap.find()).isTrue();
+    assertThat(JobMemory.MAX_BYTES * 2).isEqualTo(Long.parseLong(heap.group(1)) << 20);
+  }
 }
