--- a/core/src/main/java/dev/toucanstall/core/plan/Demand.java
+++ b/core/src/main/java/dev/toucanstall/core/plan/Demand.java
@@ -2,7 +2,6 @@
 
 import dev.toucanstall.core.job.Resources;
 import dev.toucanstall.core.job.StepSpec;
-import java.util.function.LongSupplier;
 
 /**
  * Demand of a service's queues for machines. Immutable.
@@ -60,8 +59,10 @@
     }
 
     void add(Job job) {
-      LongSupplier drainMs = drainMsOnce(job);
+      int uncreated = job.uncreatedDue(now.wallMs());
       boolean due = job.isDue(0, now.wallMs());
+      boolean hasStartable = uncreated > 0 || (due && job.backlog.hasStartable());
+      long drainMs = hasStartable ? drainMs(job) : MAX_DRAIN_MS;
       for (JobBacklog.Step counted : job.backlog.steps()) {
         StepSpec step = job.spec.steps().get(counted.number);
         int startable = due && mayStart(job, step) ? counted.startable() : 0;
@@ -71,7 +72,6 @@
           minServers = Math.max(minServers, Math.ceilDiv(tasks, step.perServer()));
         }
       }
-      int uncreated = job.uncreatedDue(now.wallMs());
       if (uncreated > 0) {
         for (StepSpec step : job.spec.steps()) {
           boolean first = step.after().isEmpty();
@@ -81,32 +81,15 @@
       }
     }
 
-    private void add(Job job, StepSpec step, long bound, long startable, LongSupplier drainMs) {
+    private void add(Job job, StepSpec step, long bound, long startable, long drainMs) {
       if (step.lasting()) {
         lasting = lasting.plus(ResourceAmount.of(step.reserved()).times(bound + startable));
       } else if (startable > 0) {
         double work = (double) startable * plan.durations.expectedMs(job.queue, step);
-        backlog =
-            backlog.plus(
-                ResourceAmount.of(step.reserved()).times(work / (double) drainMs.getAsLong()));
+        backlog = backlog.plus(ResourceAmount.of(step.reserved()).times(work / (double) drainMs));
       }
     }
 
-    /** Returns a supplier of {@link #drainMs} that computes it when it is first asked. */
-    private LongSupplier drainMsOnce(Job job) {
-      return new LongSupplier() {
-        private long drainMs;
-
-        @Override
-        public long getAsLong() {
-          if (drainMs == 0) {
-            drainMs = drainMs(job);
-          }
-          return drainMs;
-        }
-      };
-    }
-
     /**
      * Returns the time left for a job's waiting tasks, in milliseconds, if the job is to meet its
      * objective and its remaining steps follow without delay; at least {@link #MIN_DRAIN_MS}. A job
--- a/core/src/main/java/dev/toucanstall/core/plan/Job.java
+++ b/core/src/main/java/dev/toucanstall/core/plan/Job.java
@@ -87,7 +87,7 @@
   private int waitingTasks;
 
   /** Tasks of current occurrences that can be placed or are bound, by step. */
-  final JobBacklog backlog = new JobBacklog();
+  final JobBacklog backlog = new JobBacklog(this);
 
   /** Numbers of the steps that depend on a step, by its number; null until first asked for. */
   private @Nullable List<List<Integer>> successors;
@@ -268,17 +268,16 @@
   void taskPhaseChanged(Task task, TaskPhase from, TaskPhase to) {
     begun |= to == TaskPhase.RUNNING || to == TaskPhase.DONE;
     remainingTasks -= to == TaskPhase.DONE ? 1 : 0;
-    waitingTasks += (to == TaskPhase.WAITING ? 1 : 0) - (from == TaskPhase.WAITING ? 1 : 0);
-    updateReady(task.siblings, to == TaskPhase.DONE);
+    if (current.get(task.key.occurrence()) == task.siblings.occurrence) {
+      waitingTasks += (to == TaskPhase.WAITING ? 1 : 0) - (from == TaskPhase.WAITING ? 1 : 0);
+      updateOccurrence(task.siblings, to == TaskPhase.DONE);
+    }
     plan.openJobs.updateReady(this);
   }
 
   /** Updates what is known of a step's occurrence, and drops its object once it is done. */
-  private void updateReady(StepTasks changed, boolean finished) {
+  private void updateOccurrence(StepTasks changed, boolean finished) {
     Occurrence occurrence = changed.occurrence;
-    if (current.get(occurrence.number) != occurrence) {
-      return;
-    }
     boolean before = occurrence.hasReadyTask();
     occurrence.phaseChanged(changed, finished);
     readyOccurrences += (occurrence.hasReadyTask() ? 1 : 0) - (before ? 1 : 0);
--- a/core/src/main/java/dev/toucanstall/core/plan/JobBacklog.java
+++ b/core/src/main/java/dev/toucanstall/core/plan/JobBacklog.java
@@ -63,11 +63,17 @@
         Comparator.comparingInt(Position::occurrence).thenComparingInt(Position::step);
   }
 
+  private final Job job;
+
   /** Steps with bound or startable tasks, by their number. */
   private final NavigableMap<Integer, Step> steps = new TreeMap<>();
 
   private int startable;
 
+  JobBacklog(Job job) {
+    this.job = job;
+  }
+
   /** Returns the steps with bound or startable tasks, to be read only. */
   Collection<Step> steps() {
     return Collections.unmodifiableCollection(steps.values());
@@ -116,11 +122,10 @@
    * Visits the startable steps by occurrence and step. Costs nothing for the later occurrences of a
    * step once one has been refused.
    *
-   * @param job the job whose backlog this is
    * @param visitor places the tasks of a step of an occurrence; returns whether those of its later
    *     occurrences may be placed as well
    */
-  void visitStartable(Job job, Predicate<StepTasks> visitor) {
+  void visitStartable(Predicate<StepTasks> visitor) {
     PriorityQueue<Position> next = new PriorityQueue<>(Position.ORDER);
     for (Step step : steps.values()) {
       if (step.startable > 0) {
--- a/core/src/main/java/dev/toucanstall/core/plan/Placement.java
+++ b/core/src/main/java/dev/toucanstall/core/plan/Placement.java
@@ -139,7 +139,7 @@
     void place(Job job) {
       if (plan.queue(job) != null) {
         job.backlog.visitStartable(
-            job, step -> job.isDue(step.occurrence.number, now.wallMs()) && place(job, step));
+            step -> job.isDue(step.occurrence.number, now.wallMs()) && place(job, step));
       }
     }
 
--- a/core/src/main/java/dev/toucanstall/core/plan/Plan.java
+++ b/core/src/main/java/dev/toucanstall/core/plan/Plan.java
@@ -260,21 +260,7 @@
    * @return the counts
    */
   public PlanLoad load() {
-    int[] tasks = new int[TaskPhase.values().length];
-    servers.values().stream()
-        .flatMap(server -> server.tasks.stream())
-        .forEach(task -> tasks[task.phase.ordinal()]++);
-    tasks[TaskPhase.WAITING.ordinal()] = openJobs.all().mapToInt(Job::waitingTasks).sum();
-    return new PlanLoad(
-        passes,
-        openJobs(),
-        servers.size(),
-        (int) servers.values().stream().filter(server -> !server.tasks.isEmpty()).count(),
-        tasks[TaskPhase.WAITING.ordinal()],
-        tasks[TaskPhase.ORDERED.ordinal()],
-        tasks[TaskPhase.RUNNING.ordinal()],
-        tasks[TaskPhase.STOPPING.ordinal()],
-        jobMemory.usedBytes());
+    return PlanLoad.of(this);
   }
 
   /**
--- a/core/src/main/java/dev/toucanstall/core/plan/PlanLoad.java
+++ b/core/src/main/java/dev/toucanstall/core/plan/PlanLoad.java
@@ -1,5 +1,7 @@
 package dev.toucanstall.core.plan;
 
+import dev.toucanstall.core.job.TaskPhase;
+
 /**
  * Counts of what a planner manages. Immutable.
  *
@@ -22,4 +24,23 @@
     int ordered,
     int running,
     int stopping,
-    long jobBytes) {}
+    long jobBytes) {
+
+  /** Counts what a planner manages; visits each open job and each bound task. */
+  static PlanLoad of(Plan plan) {
+    int[] bound = new int[TaskPhase.values().length];
+    plan.servers.values().stream()
+        .flatMap(server -> server.tasks.stream())
+        .forEach(task -> bound[task.phase.ordinal()]++);
+    return new PlanLoad(
+        plan.passes,
+        plan.openJobs(),
+        plan.servers.size(),
+        (int) plan.servers.values().stream().filter(server -> !server.tasks.isEmpty()).count(),
+        plan.openJobs.all().mapToInt(Job::waitingTasks).sum(),
+        bound[TaskPhase.ORDERED.ordinal()],
+        bound[TaskPhase.RUNNING.ordinal()],
+        bound[TaskPhase.STOPPING.ordinal()],
+        plan.jobMemory.usedBytes());
+  }
+}
--- a/core/src/main/java/dev/toucanstall/core/plan/ServerRules.java
+++ b/core/src/main/java/dev/toucanstall/core/plan/ServerRules.java
@@ -35,18 +35,6 @@
    */
   private static final long MAX_WITHHOLDING_MS = 2_000;
 
-  /**
-   * Longest time that a lasting task which has served may be without a run because it is unknown
-   * whether its next one was started, in milliseconds.
-   */
-  private static final long MAX_LASTING_OUTAGE_MS = 8_500;
-
-  /**
-   * Longest time that such a task awaits an unknown run after its backend server was up, in
-   * milliseconds. Users bear its absence for 7 s after the last disruption, which was later.
-   */
-  private static final long MAX_LASTING_OUTAGE_AFTER_CONTACT_MS = 6_500;
-
   /** Pause before the next renewal of a backend server that did not answer, in milliseconds. */
   private static final long UNRESPONSIVE_PAUSE_MS = 400;
 
@@ -256,7 +244,7 @@
     }
     for (Server server : plan.servers.takeDueForRenewal()) {
       if (server.unresponsiveSinceMs > 0 && now.steadyMs() >= server.leases.expiredMs()) {
-        leasesExpired(plan, server, now);
+        LeaseExpiryRules.leasesExpired(plan, server, now);
       }
       if (needsRenewal(server, now)) {
         renewLease(plan, server, leaseMs, now);
@@ -271,61 +259,6 @@
     }
   }
 
-  /**
-   * Releases the tasks of a backend server whose leases have all expired; those whose start may
-   * have been carried out by an unknown later incarnation only once its leases have, too.
-   */
-  private static void leasesExpired(Plan plan, Server server, Now now) {
-    List<Task> released =
-        server.tasks.stream().filter(t -> now.steadyMs() >= releasableMs(t, server)).toList();
-    if (!released.isEmpty()) {
-      logServerEvent(
-          plan,
-          "leases-out",
-          server,
-          "tasks %d of %d, unconfirmed starts %d, bound by %s"
-              .formatted(
-                  released.size(),
-                  server.tasks.size(),
-                  released.stream().filter(Task::isStartUnconfirmed).count(),
-                  server.leases.source()));
-      released.forEach(
-          t ->
-              plan.releaseEnded(
-                  t,
-                  new RunEvidence(RunEvidence.Kind.LEASES_EXPIRED, releasableMs(t, server)),
-                  now));
-    }
-    server.answered = false;
-    if (server.unlisted && server.tasks.isEmpty()) {
-      plan.servers.remove(server.entry.id());
-    }
-  }
-
-  /**
-   * Returns the time at which a task of an unresponsive backend server may start elsewhere, in
-   * milliseconds of the monotonic clock.
-   *
-   * <p>A start without an answer may have been carried out by a later incarnation, and nothing but
-   * its leases' expiry shows that the run has ended. A lasting task that has served before can't be
-   * out of service that long, so it waits only as far as its outage allows: counted from the end of
-   * its last run if that was listed, and from the last time at which the backend server was
-   * certainly up, as whatever took its answers away came later.
-   */
-  private static long releasableMs(Task task, Server server) {
-    long knownMs = server.leases.expiredMs();
-    if (!task.isStartUnconfirmed()) {
-      return knownMs;
-    }
-    long unknownMs = server.leases.unknownIncarnationExpiredMs();
-    if (!task.step.lasting() || task.run == 1) {
-      return unknownMs;
-    }
-    long afterEndMs = task.lastEndListedMs == 0 ? 0 : task.lastEndListedMs + MAX_LASTING_OUTAGE_MS;
-    long afterContactMs = server.listRequestedMs + MAX_LASTING_OUTAGE_AFTER_CONTACT_MS;
-    return Math.clamp(Math.max(afterEndMs, afterContactMs), knownMs, unknownMs);
-  }
-
   /**
    * Returns whether a renewal that acknowledges has to wait for the answers to starts, which show
    * whether a later incarnation has begun. One would number its finished runs anew, and forget what
