Soak: let processes listen below the ports of outgoing connections

The ports were those that the system also takes for outgoing connections. EntryProcessTest asks for lower ones; with the former choice they are above 32,768.

--- a/testbed/src/test/java/dev/toucanstall/testbed/soak/EntryProcess.java
+++ b/testbed/src/test/java/dev/toucanstall/testbed/soak/EntryProcess.java
@@ -8,6 +8,7 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import org.jspecify.annotations.Nullable;
 
@@ -21,6 +22,12 @@
   private static final long SIGNAL_SECONDS = 5;
   private static final int PORTS = 4;
 
+  /** First port that a process may listen on. */
+  static final int FIRST_PORT = 20_000;
+
+  /** End of these ports; systems take higher ones for outgoing connections. */
+  static final int END_PORT = 32_000;
+
   private static final List<String> JVM_FLAGS =
       List.of(
           "-Xmx128m",
@@ -101,19 +108,21 @@
     Runtime.getRuntime().addShutdownHook(new Thread(this::close));
   }
 
-  /** Returns the first of some ports in a row that are free on 127.0.0.1. */
+  /**
+   * Returns the first of some ports in a row that are free on 127.0.0.1, below those that systems
+   * take for outgoing connections: one of these may be taken while a process starts again.
+   */
   static int freePorts(int count) throws IOException {
+    InetAddress host = InetAddress.getByName("127.0.0.1");
     while (true) {
       List<ServerSocket> held = new ArrayList<>();
       try {
-        InetAddress host = InetAddress.getByName("127.0.0.1");
-        held.add(new ServerSocket(0, 1, host));
-        int first = held.getFirst().getLocalPort();
-        for (int i = 1; i < count; i++) {
+        int first = ThreadLocalRandom.current().nextInt(FIRST_PORT, END_PORT - count);
+        for (int i = 0; i < count; i++) {
           held.add(new ServerSocket(first + i, 1, host));
         }
         return first;
-      } catch (IOException | IllegalArgumentException e) {
+      } catch (IOException e) {
         // Another process uses one of the ports; others are tried.
       } finally {
         for (ServerSocket socket : held) {
