--- a/core/src/main/java/dev/toucanstall/core/plan/Placement.java
+++ b/core/src/main/java/dev/toucanstall/core/plan/Placement.java
@@ -218,7 +218,7 @@
       task.orderedMs = now.steadyMs();
       task.bind(server);
       if (task.step.lasting() && task.run > 1) {
-        server.requestProofOfLife();
+        server.checkLiveness();
       }
       task.job.markRunning();
       plan.ledger.changed(task.job);
--- a/core/src/main/java/dev/toucanstall/core/plan/Server.java
+++ b/core/src/main/java/dev/toucanstall/core/plan/Server.java
@@ -317,7 +317,7 @@
    * Has the lists requested at once, without a lease, to learn whether the backend server is up and
    * which incarnation it is: nothing may have been heard of it for long if it had no tasks.
    */
-  void requestProofOfLife() {
+  void checkLiveness() {
     listsOnly = true;
     requestLists();
   }
