--- a/core/src/test/java/dev/toucanstall/core/plan/LeaseOnFormerClockTest.java
+++ b/core/src/test/java/dev/toucanstall/core/plan/LeaseOnFormerClockTest.java
@@ -302,19 +302,25 @@
     assertThat(other.running).hasSize(1);
   }
 
-  /**
-   * Has a lasting task serve on "w0", which is lost for good once "w1" has long been up, and lets
-   * time pass until the start of the next run is on its way to "w1".
-   */
-  private void startNextRunAfterLoss() {
+  /** Has a lasting task serve on "w0", which is returned, until "w1" has long been up, too. */
+  private SimulatedServer serveBesideIdleServer() {
     sim.addServer("w0", 10_000);
     sim.electPlanner();
     sim.submit("j", PlanSimulation.lastingStep(1, 1_000, 0));
     sim.run(2_000);
     sim.addServer("w1", 10_000);
     sim.run(UPTIME_MS);
-    final SimulatedServer first = sim.requireServer("w0");
+    SimulatedServer first = sim.requireServer("w0");
     assertThat(first.running).hasSize(1);
+    return first;
+  }
+
+  /**
+   * Has a lasting task serve on "w0", which is lost for good once "w1" has long been up, and lets
+   * time pass until the start of the next run is on its way to "w1".
+   */
+  private void startNextRunAfterLoss() {
+    final SimulatedServer first = serveBesideIdleServer();
     sim.holdsBack = order -> order instanceof PlanEffect.Start;
     first.crash();
     first.reachable = false;
@@ -355,14 +361,7 @@
   @Test
   void lastingTaskIsBackInTimeAfterStartAtIdleServerThatWasLost() {
     sim.reportIntervalMs = 1_500;
-    sim.addServer("w0", 10_000);
-    sim.electPlanner();
-    sim.submit("j", PlanSimulation.lastingStep(1, 1_000, 0));
-    sim.run(2_000);
-    sim.addServer("w1", 10_000);
-    sim.run(UPTIME_MS);
-    final SimulatedServer first = sim.requireServer("w0");
-    assertThat(first.running).hasSize(1);
+    final SimulatedServer first = serveBesideIdleServer();
     first.crash();
     first.reachable = false;
     sim.run(3_000);
