--- a/core/src/main/java/dev/toucanstall/core/plan/LeaseExpiryRules.java
+++ b/core/src/main/java/dev/toucanstall/core/plan/LeaseExpiryRules.java
@@ -34,12 +34,13 @@
           plan,
           "leases-out",
           server,
-          "tasks %d of %d, unconfirmed starts %d, bound by %s"
+          "tasks %d of %d, unconfirmed starts %d, bound by %s, silent for %d ms"
               .formatted(
                   released.size(),
                   server.tasks.size(),
                   released.stream().filter(Task::isStartUnconfirmed).count(),
-                  server.leases.source()));
+                  server.leases.source(),
+                  now.steadyMs() - server.unresponsiveSinceMs));
       released.forEach(
           t ->
               plan.releaseEnded(
--- a/core/src/test/java/dev/toucanstall/core/plan/RunReleaseLogTest.java
+++ b/core/src/test/java/dev/toucanstall/core/plan/RunReleaseLogTest.java
@@ -48,6 +48,21 @@
     assertThat(first.get("term-ms")).isNotEqualTo(TERM_START);
   }
 
+  /** Guards against a wait for leases whose bound and length no log line names. */
+  @Test
+  void releaseAfterLeaseNamesBoundAndWait() {
+    PlanSimulation sim = simulationWithLastingTasks();
+    sim.requireServer("w1").reachable = false;
+    sim.run(8_000);
+    List<String> reasons =
+        sim.effects.stream()
+            .filter(e -> e instanceof PlanEffect.Note note && note.event().equals("leases-out"))
+            .map(e -> ((PlanEffect.Note) e).fields().getOrDefault("why", ""))
+            .toList();
+    assertThat(reasons).hasSize(1);
+    assertThat(reasons.getFirst()).containsMatch("bound by OWN_LEASE, silent for [3-6]\\d{3} ms");
+  }
+
   @Test
   void releaseOfRunThatRestartedServerLacksNamesTheList() {
     PlanSimulation sim = simulationWithLastingTasks();
