Await the longest lease for an unknown run of a lasting task that has served

What callers saw: two runs of a lasting task at once. Its first backend server is lost, the start of run 2 has no answer, that backend server is cut off for 9 s, starts again behind the cut, and carries the start out late: on its new clock the deadline gives 10 s. Run 3 started 6.5 s after the last contact; across a change of planners 6.4 s after the last confirmation, as the next planner had no contact to count from and fell back to the leases that it knew. Cause: the bound was taken to be forced by the 7 s for which users bear a lasting task's absence after the last disruption. Change: LeaseBound keeps when the longest lease since the last contact has expired, 10.2 s; a next planner counts it from the last confirmation of the one before. Counted from the contact and not from the order, it fits.

--- a/core/src/main/java/dev/toucanstall/core/lease/LeaseBound.java
+++ b/core/src/main/java/dev/toucanstall/core/lease/LeaseBound.java
@@ -52,6 +52,12 @@
    */
   private long unknownIncarnationEndMs;
 
+  /**
+   * Time by which the longest lease has expired that began when the backend server was last known
+   * to be up, 0 if it never was.
+   */
+  private long lastContactEndMs;
+
   private LeaseBound(long expiredMs, Source source) {
     this.expiredMs = expiredMs;
     this.source = source;
@@ -78,6 +84,7 @@
   public static LeaseBound ofPredecessors(long leasesEndMs, long formerClockEndMs) {
     LeaseBound bound = new LeaseBound(leasesEndMs, Source.PREDECESSOR);
     bound.unknownIncarnationEndMs = formerClockEndMs;
+    bound.lastContactEndMs = formerClockEndMs;
     return bound;
   }
 
@@ -92,6 +99,7 @@
     LeaseBound bound = new LeaseBound(formerClockEndMs, Source.FORMER_CLOCK);
     bound.formerClockEndMs = formerClockEndMs;
     bound.unknownIncarnationEndMs = formerClockEndMs;
+    bound.lastContactEndMs = formerClockEndMs;
     return bound;
   }
 
@@ -139,6 +147,15 @@
     extend(formerClockEndMs(nowMs), Source.FORMER_CLOCK);
   }
 
+  /**
+   * Records that the backend server was up: it has answered a call.
+   *
+   * @param sentMs time at which the call was sent
+   */
+  public void contact(long sentMs) {
+    lastContactEndMs = Math.max(lastContactEndMs, sentMs + longestMs());
+  }
+
   /** Records that orders for a former incarnation under the id may reach the present one. */
   public void formerIncarnationKnown() {
     formerClockEndMs = Long.MAX_VALUE;
@@ -227,6 +244,16 @@
     return Math.max(expiredMs(), unknownIncarnationEndMs);
   }
 
+  /**
+   * Returns the time at which the longest lease has surely expired that a backend server may have
+   * given when it was last known to be up.
+   *
+   * @return the time, 0 if it was never up as far as known
+   */
+  public long lastContactExpiredMs() {
+    return lastContactEndMs;
+  }
+
   /**
    * Returns the origin of the time at which all leases have surely expired.
    *
--- a/core/src/main/java/dev/toucanstall/core/plan/LeaseExpiryRules.java
+++ b/core/src/main/java/dev/toucanstall/core/plan/LeaseExpiryRules.java
@@ -14,12 +14,6 @@
    */
   private static final long MAX_LASTING_OUTAGE_MS = 8_500;
 
-  /**
-   * Longest time that such a task awaits an unknown run after its backend server was up, in
-   * milliseconds. Users bear its absence for 7 s after the last disruption, which was later.
-   */
-  private static final long MAX_LASTING_OUTAGE_AFTER_CONTACT_MS = 6_500;
-
   private LeaseExpiryRules() {}
 
   /**
@@ -60,9 +54,8 @@
    *
    * <p>A start without an answer may have been carried out by a later incarnation, and nothing but
    * its leases' expiry shows that the run has ended. A lasting task that has served before can't be
-   * out of service that long, so it waits only as far as its outage allows: counted from the end of
-   * its last run if that was listed, and from the last time at which the backend server was
-   * certainly up, as whatever took its answers away came later.
+   * out of service for long, so the longest lease counts from the last time at which the backend
+   * server was certainly up: it was lost later, and the task is awaited from its loss on.
    */
   private static long releasableMs(Task task, Server server) {
     long knownMs = server.leases.expiredMs();
@@ -74,7 +67,7 @@
       return unknownMs;
     }
     long afterEndMs = task.lastEndListedMs == 0 ? 0 : task.lastEndListedMs + MAX_LASTING_OUTAGE_MS;
-    long afterContactMs = server.listRequestedMs + MAX_LASTING_OUTAGE_AFTER_CONTACT_MS;
+    long afterContactMs = server.leases.lastContactExpiredMs();
     return Math.clamp(Math.max(afterEndMs, afterContactMs), knownMs, unknownMs);
   }
 }
--- a/core/src/main/java/dev/toucanstall/core/plan/LeaseRenewalRules.java
+++ b/core/src/main/java/dev/toucanstall/core/plan/LeaseRenewalRules.java
@@ -109,6 +109,7 @@
     server.answered = true;
     server.incarnationShown(held.sentMs());
     server.listRequestedMs = held.sentMs();
+    server.leases.contact(held.sentMs());
     server.unresponsiveSinceMs = 0;
     server.clock.read(listed.serverClockMs(), now.steadyMs());
     Set<TaskKey> listedTasks = new HashSet<>();
