Await leases on the clock of an incarnation that only earlier planners knew

What callers saw: two runs of a task at once, short or lasting. A backend server without tasks starts again under its id, and a renewal for its former incarnation gives the later one 10 s before it has seen any token. The planner is lost at that moment. The next one has no record of the backend server, starts a task there, and takes each lease for one of 5.5 s once it has answered; the backend server is cut off, and the task started elsewhere after 5.7 s with 3.4 s of the first lease left. With a second loss of the planner within those seconds the third one knew still less. Cause: the first token proved that the lease is a usual one unless this planner knew of a former incarnation itself. Change: a backend server that is first listed while orders of earlier planners may still give leases counts as possibly on a former clock, unless it has been up for so long, by its start time and by its monotonic clock, that earlier planners must have known of it. If it may be, its id is stored like those of known restarts, for the planner after this one. Fixtures whose backend servers start with the first planner are now up for 20 s before it: their subject is another, and their bounds stay.

--- a/core/src/main/java/dev/toucanstall/core/lease/LeaseBound.java
+++ b/core/src/main/java/dev/toucanstall/core/lease/LeaseBound.java
@@ -22,6 +22,11 @@
   /** Longest time for which an order is on its way without being late, in milliseconds. */
   public static final long MAX_TRANSIT_MS = 300;
 
+  /**
+   * Longest time for which a planner may not know of an incarnation that is up, in milliseconds.
+   */
+  private static final long MAX_DISCOVERY_MS = 5_000;
+
   /** Longest time that a slow clock loses between two readings of it, in milliseconds. */
   private static final long CLOCK_DRIFT_MS = 200;
 
@@ -46,6 +51,12 @@
   /** Time until which leases on the clock of a former incarnation may last, 0 if there are none. */
   private long formerClockEndMs;
 
+  /**
+   * The same for a former incarnation that only earlier planners knew, until the present one has
+   * seen its token; 0 if there are none.
+   */
+  private long unrecordedEndMs;
+
   /**
    * Time by which the leases have expired that an unknown later incarnation may have given on
    * orders of this planner or of earlier ones.
@@ -64,27 +75,34 @@
   }
 
   /**
-   * Returns the bound of a backend server that is listed for the first time.
+   * Returns the bound of a backend server that is listed for the first time. Earlier planners may
+   * have given it leases on the clock of a former incarnation of which this one does not know.
    *
    * @param nowMs current time
+   * @param unrecordedEndMs time at which such leases of earlier planners have expired
    * @return the bound
    */
-  public static LeaseBound ofListed(long nowMs) {
-    return new LeaseBound(nowMs + longestMs(), Source.BEFORE_LISTING);
+  public static LeaseBound ofListed(long nowMs, long unrecordedEndMs) {
+    LeaseBound bound =
+        new LeaseBound(Math.max(nowMs + longestMs(), unrecordedEndMs), Source.BEFORE_LISTING);
+    bound.unrecordedEndMs = unrecordedEndMs;
+    return bound;
   }
 
   /**
    * Returns the bound of a backend server that an earlier planner's records name.
    *
    * @param leasesEndMs time at which all leases of earlier planners have expired
-   * @param formerClockEndMs time at which their leases on the clock of a former incarnation have
-   *     expired, if there are any
+   * @param unknownIncarnationEndMs time at which the leases have expired that an incarnation of
+   *     which earlier planners have not learned may have given on their orders
+   * @param lastContactEndMs the same, if it was up until the store last confirmed them
    * @return the bound
    */
-  public static LeaseBound ofPredecessors(long leasesEndMs, long formerClockEndMs) {
+  public static LeaseBound ofPredecessors(
+      long leasesEndMs, long unknownIncarnationEndMs, long lastContactEndMs) {
     LeaseBound bound = new LeaseBound(leasesEndMs, Source.PREDECESSOR);
-    bound.unknownIncarnationEndMs = formerClockEndMs;
-    bound.lastContactEndMs = formerClockEndMs;
+    bound.unknownIncarnationEndMs = unknownIncarnationEndMs;
+    bound.lastContactEndMs = lastContactEndMs;
     return bound;
   }
 
@@ -93,12 +111,15 @@
    * may be on the clock of a former incarnation.
    *
    * @param formerClockEndMs time at which all such leases of earlier planners have expired
+   * @param unknownIncarnationEndMs time at which the leases have expired that an incarnation of
+   *     which earlier planners have not learned may have given on their orders
    * @return the bound
    */
-  public static LeaseBound ofPredecessorsOnFormerClock(long formerClockEndMs) {
+  public static LeaseBound ofPredecessorsOnFormerClock(
+      long formerClockEndMs, long unknownIncarnationEndMs) {
     LeaseBound bound = new LeaseBound(formerClockEndMs, Source.FORMER_CLOCK);
     bound.formerClockEndMs = formerClockEndMs;
-    bound.unknownIncarnationEndMs = formerClockEndMs;
+    bound.unknownIncarnationEndMs = unknownIncarnationEndMs;
     bound.lastContactEndMs = formerClockEndMs;
     return bound;
   }
@@ -200,15 +221,20 @@
    * lease is longer than one that was given just now.
    *
    * @param nowMs current time
+   * @param uptimeMs time for which the incarnation has been up at least; earlier planners knew of
+   *     one that has been up for long
    */
-  public void tokenSeen(long nowMs) {
-    boolean onFormerClock = nowMs < formerClockEndMs;
-    long endMs =
-        nowMs
-            + ServerClock.longestDurationMs(
-                (onFormerClock ? MAX_LEASE_MS : LEASE_MS) + CLOCK_DRIFT_MS);
-    expiredMs = Math.min(expiredMs, endMs);
-    formerClockEndMs = Math.min(formerClockEndMs, onFormerClock ? endMs : 0);
+  public void tokenSeen(long nowMs, long uptimeMs) {
+    long knownMs = formerClockEndMs(nowMs - uptimeMs + MAX_DISCOVERY_MS);
+    long formerEndMs = Math.max(formerClockEndMs, Math.min(unrecordedEndMs, knownMs));
+    formerClockEndMs = Math.min(formerEndMs, endOfLeaseGivenBefore(nowMs, MAX_LEASE_MS));
+    unrecordedEndMs = 0;
+    long ownEndMs = endOfLeaseGivenBefore(nowMs, LEASE_MS);
+    expiredMs = Math.min(expiredMs, Math.max(ownEndMs, formerClockEndMs));
+  }
+
+  private static long endOfLeaseGivenBefore(long nowMs, long lengthMs) {
+    return nowMs + ServerClock.longestDurationMs(lengthMs + CLOCK_DRIFT_MS);
   }
 
   /**
--- a/core/src/main/java/dev/toucanstall/core/lease/ServerClock.java
+++ b/core/src/main/java/dev/toucanstall/core/lease/ServerClock.java
@@ -38,6 +38,16 @@
     return (long) (lengthMs / MIN_RATE) + 1;
   }
 
+  /**
+   * Returns the shortest time that a backend server's clock, which may be fast, takes for a length.
+   *
+   * @param lengthMs length in milliseconds of the backend server's clock
+   * @return the time in milliseconds of the planner's monotonic clock
+   */
+  public static long shortestDurationMs(long lengthMs) {
+    return (long) (lengthMs / MAX_RATE);
+  }
+
   /**
    * Records a reading.
    *
--- a/core/src/main/java/dev/toucanstall/core/plan/ServerRules.java
+++ b/core/src/main/java/dev/toucanstall/core/plan/ServerRules.java
@@ -70,7 +70,9 @@
       restarted(plan, existing, entry, now);
     }
     if (existing == null) {
-      Server added = new Server(entry, LeaseBound.ofListed(now.steadyMs()), now.steadyMs());
+      LeaseBound leases =
+          LeaseBound.ofListed(now.steadyMs(), plan.succession.unrecordedLeasesEndMs());
+      Server added = new Server(entry, leases, now.steadyMs());
       added.moving = plan.moves.mayEnd(entry.id());
       plan.servers.put(added);
       if (plan.formerClocks.isRestored(entry.id())) {
--- a/core/src/main/java/dev/toucanstall/core/plan/Succession.java
+++ b/core/src/main/java/dev/toucanstall/core/plan/Succession.java
@@ -45,6 +45,16 @@
     return of(now.steadyMs(), now.steadyMs(), Long.MAX_VALUE);
   }
 
+  /**
+   * Returns the time at which the leases have expired that earlier planners gave on the clock of an
+   * incarnation of which this planner has no record, as no task was bound to it.
+   *
+   * @return the time, in milliseconds of the monotonic clock
+   */
+  long unrecordedLeasesEndMs() {
+    return LeaseBound.formerClockEndMs(leasesEndMs);
+  }
+
   private static long leasesEndMs(long lastConfirmedMs, long prolongedLeasesEndMs) {
     long usualEndMs = lastConfirmedMs + ServerClock.longestDurationMs(PlanReducer.LEASE_HORIZON_MS);
     long latestEndMs =
--- a/core/src/test/java/dev/toucanstall/core/plan/LargeJobTest.java
+++ b/core/src/test/java/dev/toucanstall/core/plan/LargeJobTest.java
@@ -26,6 +26,7 @@
     PlanSimulation sim = new PlanSimulation(1);
     sim.storeLimits = limits;
     IntStream.range(0, 4).forEach(i -> sim.addServer("w" + i, 200_000));
+    sim.run(PlanSimulation.LONG_UPTIME_MS);
     sim.electPlanner();
     sim.run(200);
     return sim;
--- a/core/src/test/java/dev/toucanstall/core/plan/PlanSimulation.java
+++ b/core/src/test/java/dev/toucanstall/core/plan/PlanSimulation.java
@@ -59,6 +59,12 @@
    */
   static final long LATE_MS = 250;
 
+  /**
+   * Time after which earlier planners surely knew of a backend server, and gave it no leases on the
+   * clock of a former incarnation that still last, in milliseconds.
+   */
+  static final long LONG_UPTIME_MS = 20_000;
+
   /** Longest time in which a test awaits a condition, in milliseconds. */
   private static final long LONGEST_WAIT_MS = 5_000;
 
--- a/core/src/test/java/dev/toucanstall/core/plan/PoolRebalancingTest.java
+++ b/core/src/test/java/dev/toucanstall/core/plan/PoolRebalancingTest.java
@@ -29,6 +29,7 @@
     Stream.of("w1", "w2").forEach(id -> sim.addServer(id, 10_000));
     Stream.of("t1", "t2").forEach(id -> sim.addServer(id, PlanSimulation.OTHER_SERVICE, 10_000));
     IntStream.range(0, 6).forEach(i -> sim.standbyMachines.add("m-off" + i));
+    sim.run(PlanSimulation.LONG_UPTIME_MS);
     sim.electPlanner();
     sim.run(2_500);
     return sim;
--- a/core/src/test/java/dev/toucanstall/core/plan/RunReleaseLogTest.java
+++ b/core/src/test/java/dev/toucanstall/core/plan/RunReleaseLogTest.java
@@ -14,6 +14,7 @@
   private static PlanSimulation simulationWithLastingTasks() {
     PlanSimulation sim = new PlanSimulation(1);
     sim.addServer("w1", 10_000);
+    sim.run(PlanSimulation.LONG_UPTIME_MS);
     sim.electPlanner();
     sim.run(200);
     sim.submit("j", PlanSimulation.lastingStep(2, 1_000, 0));
--- a/core/src/test/java/dev/toucanstall/core/plan/SuccessionAfterRestartTest.java
+++ b/core/src/test/java/dev/toucanstall/core/plan/SuccessionAfterRestartTest.java
@@ -3,7 +3,9 @@
 import static com.google.common.truth.Truth.assertThat;
 
 import dev.toucanstall.core.job.JobRecord;
+import dev.toucanstall.core.job.StepSpec;
 import java.util.List;
+import java.util.Objects;
 import org.junit.jupiter.api.Test;
 
 /**
@@ -28,6 +30,9 @@
   /** Time in which all leases of any planner expire, in milliseconds. */
   private static final long ALL_LEASES_MS = 13_000;
 
+  /** Time from a renewal without an answer until its runs are known to have ended. */
+  private static final long RENEWED_AGAIN_MS = 2_000;
+
   private static final long SHORT_TASK_MS = 300;
 
   private static final long LONG_TASK_MS = 60_000;
@@ -174,6 +179,85 @@
     assertThat(serversOnFormerClocks()).isEmpty();
   }
 
+  private static boolean givesLease(PlanEffect effect) {
+    return effect instanceof PlanEffect.Hold renewal && renewal.leaseExpiryMs() > 0;
+  }
+
+  /**
+   * Has a renewal with a lease for "w1", whose only run ends then, reach a later incarnation that
+   * the lost planner didn't know, and a task start there under the next planner.
+   *
+   * @param step the step of the task
+   */
+  private SimulatedServer startOnServerThatOnlyLostPlannerKnew(StepSpec step) {
+    sim.taskLengths = task -> task.job().equals("first") ? SHORT_TASK_MS : LONG_TASK_MS;
+    sim.addServer("w1", 10_000);
+    sim.electPlanner();
+    sim.run(UPTIME_MS);
+    sim.submit("first", PlanSimulation.step(1, 1_000));
+    sim.holdsBack = SuccessionAfterRestartTest::givesLease;
+    sim.runUntil(() -> !sim.heldBack.isEmpty());
+    sim.holdsBack = order -> false;
+    sim.run(RENEWED_AGAIN_MS);
+    assertThat(sim.stored.get("p/first")).isInstanceOf(JobRecord.Closed.class);
+    final long confirmedMs = Objects.requireNonNull(sim.planner).plan.confirmedMs();
+    final SimulatedServer later = sim.restart("w1");
+    sim.losePlanner();
+    sim.deliverOnItsWay();
+    sim.run(ELECTED_AFTER_MS);
+    electNextPlanner(confirmedMs);
+    sim.submit("j", step);
+    sim.runUntil(() -> !later.running.isEmpty());
+    return later;
+  }
+
+  /** Asserts that a task starts elsewhere once no lease of its cut off backend server is left. */
+  private void assertStartedElsewhereLater(SimulatedServer cutOff) {
+    sim.run(CUT_OFF_AFTER_MS);
+    cutOff.reachable = false;
+    final SimulatedServer other = sim.addServer("w2", 10_000);
+    sim.run(ALL_LEASES_MS);
+    assertThat(sim.violations).isEmpty();
+    assertThat(other.running).hasSize(1);
+  }
+
+  /**
+   * Guards against two runs of a task at once: a backend server without tasks has got a lease on
+   * the clock of a former incarnation, which only the lost planner knew.
+   */
+  @Test
+  void nextPlannerAwaitsLeaseOfIncarnationThatOnlyLostPlannerKnew() {
+    assertStartedElsewhereLater(
+        startOnServerThatOnlyLostPlannerKnew(PlanSimulation.step(1, 1_000)));
+  }
+
+  /** Guards against the same for a lasting task. */
+  @Test
+  void nextPlannerAwaitsLeaseOfIncarnationThatOnlyLostPlannerKnewForLastingTask() {
+    assertStartedElsewhereLater(
+        startOnServerThatOnlyLostPlannerKnew(PlanSimulation.lastingStep(1, 1_000, 0)));
+  }
+
+  /**
+   * Guards against the same after two changes of planners in a row: the second lost planner counted
+   * the longer lease, and the third one knows neither of them.
+   */
+  @Test
+  void thirdPlannerAwaitsLeaseOfIncarnationThatOnlyFirstPlannerKnew() {
+    final SimulatedServer later =
+        startOnServerThatOnlyLostPlannerKnew(PlanSimulation.lastingStep(1, 1_000, 0));
+    sim.run(CUT_OFF_AFTER_MS);
+    final long confirmedMs = Objects.requireNonNull(sim.planner).plan.confirmedMs();
+    sim.losePlanner();
+    later.reachable = false;
+    final SimulatedServer other = sim.addServer("w2", 10_000);
+    sim.run(ELECTED_AFTER_MS);
+    electNextPlanner(confirmedMs);
+    sim.run(ALL_LEASES_MS);
+    assertThat(sim.violations).isEmpty();
+    assertThat(other.running).hasSize(1);
+  }
+
   private List<String> serversOnFormerClocks() {
     return sim.records().stream()
         .filter(JobRecord.FormerClockLeases.class::isInstance)
