--- /dev/null
+++ b/core/src/test/java/dev/toucanstall/core/plan/LeaseOfUnknownStartTest.java
@@ -0,0 +1,202 @@
+package dev.toucanstall.core.plan;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import dev.toucanstall.core.job.JobRecord;
+import dev.toucanstall.core.job.TaskPhase;
+import org.junit.jupiter.api.Tag;
+import org.junit.jupiter.api.Test;
+
+/**
+ * Tests the longest lease, which a later incarnation grants on a start for a former one, where the
+ * planner that acts doesn't know that the start is still on its way: it has had an answer to
+ * another copy, or its predecessor's records don't tell.
+ */
+final class LeaseOfUnknownStartTest {
+
+  /** Time that a backend server is up before its later incarnation starts, in milliseconds. */
+  private static final long UPTIME_MS = 20_000;
+
+  /** Time in which a start that had no answer is sent again and confirmed, in milliseconds. */
+  private static final long RESENT_MS = 2_500;
+
+  /** Time from the loss of a planner to the election of the next one, in milliseconds. */
+  private static final long ELECTED_AFTER_MS = 600;
+
+  /** Time that the store takes to answer an append, in milliseconds. */
+  private static final long SLOW_STORE_MS = 2_300;
+
+  /** Length of a cut, in milliseconds. */
+  private static final long CUT_MS = 9_000;
+
+  /** Time in which all leases of any planner expire, in milliseconds. */
+  private static final long ALL_LEASES_MS = 14_000;
+
+  private final PlanSimulation sim = new PlanSimulation(1);
+
+  /** Lets time pass until the first start of a lasting task on "w1" is on its way. */
+  private void holdBackFirstStart() {
+    sim.addServer("w1", 10_000);
+    sim.electPlanner();
+    sim.run(UPTIME_MS);
+    sim.holdsBack = order -> order instanceof PlanEffect.Start;
+    sim.submit("j", PlanSimulation.lastingStep(1, 1_000, 0));
+    sim.runUntil(() -> !sim.heldBack.isEmpty());
+  }
+
+  private void electNextPlanner(long confirmedMs) {
+    sim.electPlanner(Succession.of(sim.now().steadyMs(), confirmedMs, 0));
+  }
+
+  /**
+   * Has "w1" cut off and started again, and the start carried out there that was on its way.
+   *
+   * @return the later incarnation
+   */
+  private SimulatedServer carryOutBehindCut() {
+    SimulatedServer former = sim.requireServer("w1");
+    former.crash();
+    SimulatedServer later = sim.restartServer(former);
+    later.reachesStore = false;
+    later.lastReportMs = 0;
+    sim.holdsBack = order -> false;
+    sim.deliverOnItsWay();
+    later.reachable = false;
+    assertThat(later.running).hasSize(1);
+    return later;
+  }
+
+  /** Asserts that the task has one run at a time until the cut ends and all leases are out. */
+  private void assertOneRun(SimulatedServer later, SimulatedServer other) {
+    sim.run(CUT_MS);
+    later.reachable = true;
+    sim.run(ALL_LEASES_MS);
+    assertThat(sim.violations).isEmpty();
+    assertThat(later.running.size() + other.running.size()).isEqualTo(1);
+  }
+
+  /**
+   * Guards against two runs of a task at once within one term: an earlier copy of its start had no
+   * answer and is carried out by a later incarnation, and the planner counts ordinary leases as a
+   * second copy was answered.
+   */
+  @Test
+  @Tag("known-red")
+  void leaseOfLateCopyOfConfirmedStartIsAwaited() {
+    holdBackFirstStart();
+    sim.holdsBack = order -> false;
+    sim.run(RESENT_MS);
+    assertThat(sim.requireServer("w1").running).hasSize(1);
+    final SimulatedServer later = carryOutBehindCut();
+    assertOneRun(later, sim.addServer("w2", 10_000));
+  }
+
+  /**
+   * Guards against the same across an election: the next planner has sent the start again and had
+   * an answer, while the copy of its predecessor is on its way.
+   */
+  @Test
+  @Tag("known-red")
+  void leaseOfPredecessorsCopyOfConfirmedStartIsAwaited() {
+    holdBackFirstStart();
+    final long confirmedMs = sim.now().steadyMs();
+    sim.losePlanner();
+    sim.holdsBack = order -> false;
+    sim.run(ELECTED_AFTER_MS);
+    electNextPlanner(confirmedMs);
+    sim.run(RESENT_MS);
+    assertThat(sim.requireServer("w1").running).hasSize(1);
+    final SimulatedServer later = carryOutBehindCut();
+    assertOneRun(later, sim.addServer("w2", 10_000));
+  }
+
+  /**
+   * Guards against the same after two elections: the next planner has stored that the run was known
+   * to have started, and its successor counts ordinary leases.
+   */
+  @Test
+  @Tag("known-red")
+  void leaseOfCopyOfConfirmedStartIsAwaitedAfterTwoElections() {
+    holdBackFirstStart();
+    final long confirmedMs = sim.now().steadyMs();
+    sim.losePlanner();
+    sim.holdsBack = order -> false;
+    sim.run(ELECTED_AFTER_MS);
+    electNextPlanner(confirmedMs);
+    sim.run(RESENT_MS);
+    assertThat(sim.requireServer("w1").running).hasSize(1);
+    final long confirmedLaterMs = sim.now().steadyMs();
+    sim.losePlanner();
+    final SimulatedServer later = carryOutBehindCut();
+    final SimulatedServer other = sim.addServer("w2", 10_000);
+    sim.run(ELECTED_AFTER_MS);
+    electNextPlanner(confirmedLaterMs);
+    assertOneRun(later, other);
+  }
+
+  /**
+   * Guards against two runs of a task at once after a change of planners: the store answers slowly,
+   * so that the lost planner has sent the start long after the confirmation from which its
+   * successor counts the longest lease.
+   */
+  @Test
+  @Tag("known-red")
+  void leaseOfStartLongAfterLastConfirmationIsAwaited() {
+    sim.addServer("w1", 10_000);
+    sim.electPlanner();
+    sim.run(UPTIME_MS);
+    sim.storeDelayMs = SLOW_STORE_MS;
+    sim.holdsBack = order -> order instanceof PlanEffect.Start;
+    sim.submit("j", PlanSimulation.lastingStep(1, 1_000, 0));
+    sim.runUntil(() -> !sim.heldBack.isEmpty());
+    sim.storeAvailable = false;
+    sim.storeDelayMs = 0;
+    final long confirmedMs = lastPlan().confirmedMs();
+    assertThat(sim.now().steadyMs() - confirmedMs).isAtMost(PlanReducer.START_PERMISSION_MS);
+    sim.run(100);
+    sim.losePlanner();
+    final SimulatedServer later = carryOutBehindCut();
+    final SimulatedServer other = sim.addServer("w2", 10_000);
+    sim.run(ELECTED_AFTER_MS);
+    sim.storeAvailable = true;
+    electNextPlanner(confirmedMs);
+    sim.run(ALL_LEASES_MS);
+    assertThat(sim.violations).isEmpty();
+    assertThat(later.running.size() + other.running.size()).isEqualTo(1);
+  }
+
+  private Plan lastPlan() {
+    PlanSimulation.Planner last = sim.planner;
+    if (last == null) {
+      throw new IllegalStateException("no planner");
+    }
+    return last.plan;
+  }
+
+  /**
+   * Guards against two runs of a lasting task at once after a change of planners: the lost planner
+   * has given up its unanswered start and stored the stop, which its successor takes for a sign
+   * that the run was known to have started.
+   */
+  @Test
+  @Tag("known-red")
+  void leaseOfUnansweredStartWhoseStopIsStoredIsAwaited() {
+    holdBackFirstStart();
+    sim.runUntil(this::isStopStored);
+    final long confirmedMs = sim.now().steadyMs();
+    sim.losePlanner();
+    final SimulatedServer later = carryOutBehindCut();
+    final SimulatedServer other = sim.addServer("w2", 10_000);
+    sim.run(ELECTED_AFTER_MS);
+    electNextPlanner(confirmedMs);
+    assertOneRun(later, other);
+  }
+
+  private boolean isStopStored() {
+    return sim.records().stream()
+        .filter(JobRecord.Progress.class::isInstance)
+        .map(JobRecord.Progress.class::cast)
+        .flatMap(progress -> progress.tasks().stream())
+        .anyMatch(task -> task.phase() == TaskPhase.STOPPING);
+  }
+}
