Count the longest lease from the first token that a later incarnation sees

What callers saw: two runs of a task at once. A planner learns of a later incarnation and can't reach it for some seconds; an order for the former one arrives late and gives 10 s; then the first token is seen and a task started, which inherits that lease. The backend server is cut off, and the task starts elsewhere 2.3 s too early, 3.8 s across an election. Cause: the bound was the earlier of 10.5 s after the restart was known, or after the listing, and 10.4 s after the first token. Any late order may give the longest lease until the first token is seen, and none may after it, so only the latter holds. Change: LeaseBound.tokenSeen sets that bound where the id may have had a former incarnation. An earlier planner knew an incarnation for certain if it began 5 s before that planner's last confirmation; its orders may arrive up to 12 s late. The broken planner of PlanRandomTest shortens both bounds.

--- a/core/src/main/java/dev/toucanstall/core/lease/LeaseBound.java
+++ b/core/src/main/java/dev/toucanstall/core/lease/LeaseBound.java
@@ -23,9 +23,16 @@
   public static final long MAX_TRANSIT_MS = 300;
 
   /**
-   * Longest time for which a planner may not know of an incarnation that is up, in milliseconds.
+   * Longest time for which an order is on its way in all, in milliseconds: it may be carried out
+   * seconds after its call was given up.
    */
-  private static final long MAX_DISCOVERY_MS = 5_000;
+  public static final long MAX_LATE_TRANSIT_MS = 12_000;
+
+  /**
+   * Longest time until an incarnation that is up has seen a token that a planner has given for it,
+   * in milliseconds.
+   */
+  public static final long MAX_DISCOVERY_MS = 5_000;
 
   /** Longest time that a slow clock loses between two readings of it, in milliseconds. */
   private static final long CLOCK_DRIFT_MS = 200;
@@ -48,14 +55,20 @@
   private Source source;
   private long suspectedSinceMs;
 
-  /** Time until which leases on the clock of a former incarnation may last, 0 if there are none. */
-  private long formerClockEndMs;
+  /** Whether the id had a former incarnation, until the present one has seen its token. */
+  private boolean formerIncarnation;
 
   /**
-   * The same for a former incarnation that only earlier planners knew, until the present one has
-   * seen its token; 0 if there are none.
+   * Time until which leases on the clock of a former incarnation may last once the present one has
+   * seen its token, 0 if there are none.
    */
-  private long unrecordedEndMs;
+  private long formerClockEndMs;
+
+  /** Start time after which earlier planners did not know an incarnation for certain. */
+  private long knownIfStartedBeforeMs = Long.MAX_VALUE;
+
+  /** Time until which orders of earlier planners may arrive. */
+  private long earlierOrdersEndMs;
 
   /**
    * Time by which the leases have expired that an unknown later incarnation may have given on
@@ -79,13 +92,15 @@
    * have given it leases on the clock of a former incarnation of which this one does not know.
    *
    * @param nowMs current time
-   * @param unrecordedEndMs time at which such leases of earlier planners have expired
+   * @param knownIfStartedBeforeMs start time before which earlier planners knew an incarnation
+   * @param earlierOrdersEndMs time until which orders of earlier planners may arrive
    * @return the bound
    */
-  public static LeaseBound ofListed(long nowMs, long unrecordedEndMs) {
-    LeaseBound bound =
-        new LeaseBound(Math.max(nowMs + longestMs(), unrecordedEndMs), Source.BEFORE_LISTING);
-    bound.unrecordedEndMs = unrecordedEndMs;
+  public static LeaseBound ofListed(
+      long nowMs, long knownIfStartedBeforeMs, long earlierOrdersEndMs) {
+    LeaseBound bound = new LeaseBound(nowMs + longestMs(), Source.BEFORE_LISTING);
+    bound.knownIfStartedBeforeMs = knownIfStartedBeforeMs;
+    bound.earlierOrdersEndMs = earlierOrdersEndMs;
     return bound;
   }
 
@@ -118,7 +133,7 @@
   public static LeaseBound ofPredecessorsOnFormerClock(
       long formerClockEndMs, long unknownIncarnationEndMs) {
     LeaseBound bound = new LeaseBound(formerClockEndMs, Source.FORMER_CLOCK);
-    bound.formerClockEndMs = formerClockEndMs;
+    bound.formerIncarnation = true;
     bound.unknownIncarnationEndMs = unknownIncarnationEndMs;
     bound.lastContactEndMs = formerClockEndMs;
     return bound;
@@ -164,7 +179,7 @@
    */
   public void restarted(long nowMs) {
     suspectedSinceMs = 0;
-    formerClockEndMs = Long.MAX_VALUE;
+    formerIncarnation = true;
     extend(formerClockEndMs(nowMs), Source.FORMER_CLOCK);
   }
 
@@ -179,7 +194,7 @@
 
   /** Records that orders for a former incarnation under the id may reach the present one. */
   public void formerIncarnationKnown() {
-    formerClockEndMs = Long.MAX_VALUE;
+    formerIncarnation = true;
   }
 
   /**
@@ -218,19 +233,22 @@
 
   /**
    * Records that the present incarnation has seen this planner's fencing token for it, so that no
-   * lease is longer than one that was given just now.
+   * lease is longer than one that was given just now. Until then, any order for a former
+   * incarnation may have given the longest.
    *
    * @param nowMs current time
-   * @param uptimeMs time for which the incarnation has been up at least; earlier planners knew of
-   *     one that has been up for long
+   * @param startedMs time at which the incarnation has started at the latest
    */
-  public void tokenSeen(long nowMs, long uptimeMs) {
-    long knownMs = formerClockEndMs(nowMs - uptimeMs + MAX_DISCOVERY_MS);
-    long formerEndMs = Math.max(formerClockEndMs, Math.min(unrecordedEndMs, knownMs));
-    formerClockEndMs = Math.min(formerEndMs, endOfLeaseGivenBefore(nowMs, MAX_LEASE_MS));
-    unrecordedEndMs = 0;
-    long ownEndMs = endOfLeaseGivenBefore(nowMs, LEASE_MS);
-    expiredMs = Math.min(expiredMs, Math.max(ownEndMs, formerClockEndMs));
+  public void tokenSeen(long nowMs, long startedMs) {
+    boolean formerOfEarlierPlanners =
+        startedMs >= knownIfStartedBeforeMs && nowMs < earlierOrdersEndMs;
+    if (formerIncarnation || formerOfEarlierPlanners) {
+      formerClockEndMs = endOfLeaseGivenBefore(nowMs, MAX_LEASE_MS);
+      expiredMs = formerClockEndMs;
+    } else {
+      expiredMs = Math.min(expiredMs, endOfLeaseGivenBefore(nowMs, LEASE_MS));
+    }
+    formerIncarnation = false;
   }
 
   private static long endOfLeaseGivenBefore(long nowMs, long lengthMs) {
@@ -245,7 +263,7 @@
    *     that they gave have expired
    */
   public boolean mayBeOnFormerClock(long nowMs) {
-    return isRestartSuspected() || nowMs < formerClockEndMs;
+    return isRestartSuspected() || formerIncarnation || nowMs < formerClockEndMs;
   }
 
   /**
--- a/core/src/main/java/dev/toucanstall/core/plan/LeaseRenewalRules.java
+++ b/core/src/main/java/dev/toucanstall/core/plan/LeaseRenewalRules.java
@@ -105,7 +105,7 @@
       plan.markForPlacement(server);
     }
     if (!server.answered) {
-      server.leases.tokenSeen(now.steadyMs(), uptimeMs(listed, now));
+      server.leases.tokenSeen(now.steadyMs(), now.steadyMs() - uptimeMs(listed, now));
       plan.formerClocks.update(server, now);
     }
     server.answered = true;
--- a/core/src/main/java/dev/toucanstall/core/plan/ServerRules.java
+++ b/core/src/main/java/dev/toucanstall/core/plan/ServerRules.java
@@ -71,7 +71,10 @@
     }
     if (existing == null) {
       LeaseBound leases =
-          LeaseBound.ofListed(now.steadyMs(), plan.succession.unrecordedLeasesEndMs());
+          LeaseBound.ofListed(
+              now.steadyMs(),
+              plan.succession.knownIfStartedBeforeMs(),
+              plan.succession.ordersEndMs());
       Server added = new Server(entry, leases, now.steadyMs());
       added.moving = plan.moves.mayEnd(entry.id());
       plan.servers.put(added);
--- a/core/src/main/java/dev/toucanstall/core/plan/Succession.java
+++ b/core/src/main/java/dev/toucanstall/core/plan/Succession.java
@@ -46,13 +46,32 @@
   }
 
   /**
-   * Returns the time at which the leases have expired that earlier planners gave on the clock of an
-   * incarnation of which this planner has no record, as no task was bound to it.
+   * Returns the time until which orders of earlier planners may arrive that give leases.
    *
    * @return the time, in milliseconds of the monotonic clock
    */
-  long unrecordedLeasesEndMs() {
-    return LeaseBound.formerClockEndMs(leasesEndMs);
+  long ordersEndMs() {
+    return leasesEndMs + LeaseBound.MAX_LATE_TRANSIT_MS;
+  }
+
+  /**
+   * Returns the start time before which an incarnation was known to the last planner, which has
+   * stored what its successors need to know of the incarnation before.
+   *
+   * @return the time, in milliseconds of the monotonic clock
+   */
+  long knownIfStartedBeforeMs() {
+    return formerClockLeasesEndMs - LeaseBound.formerClockEndMs(0) - LeaseBound.MAX_DISCOVERY_MS;
+  }
+
+  /**
+   * Returns the time at which the leases have expired that a later incarnation may have given on
+   * starts of earlier planners, which knew a former one.
+   *
+   * @return the time, in milliseconds of the monotonic clock
+   */
+  long unconfirmedStartLeasesEndMs() {
+    return formerClockLeasesEndMs + PlanReducer.START_PERMISSION_MS;
   }
 
   private static long leasesEndMs(long lastConfirmedMs, long prolongedLeasesEndMs) {
--- a/core/src/test/java/dev/toucanstall/core/plan/PlanSimulation.java
+++ b/core/src/test/java/dev/toucanstall/core/plan/PlanSimulation.java
@@ -238,7 +238,7 @@
    */
   UnaryOperator<PlanEffect> orderChange = UnaryOperator.identity();
 
-  /** Changes the time at which a new planner takes the leases of earlier ones for expired. */
+  /** Changes the times at which a new planner takes the leases of earlier ones for expired. */
   LongUnaryOperator leaseBoundChange = LongUnaryOperator.identity();
 
   /**
@@ -405,7 +405,7 @@
         new Succession(
             nowMs,
             leaseBoundChange.applyAsLong(unknown.leasesEndMs()),
-            unknown.formerClockLeasesEndMs()));
+            leaseBoundChange.applyAsLong(unknown.formerClockLeasesEndMs())));
   }
 
   /**
