Await starts of which the planner that acts has no account

What callers saw: two runs of a task at once, the backend server starting again behind a cut of 9 s. Cause: an answer to one copy was taken for an account of all, and the stored phase lost what was unknown. A lasting task that has served waits for the longest lease after the last contact, as before.

--- a/core/src/main/java/dev/toucanstall/core/plan/LeaseExpiryRules.java
+++ b/core/src/main/java/dev/toucanstall/core/plan/LeaseExpiryRules.java
@@ -32,7 +32,7 @@
               .formatted(
                   released.size(),
                   server.tasks.size(),
-                  released.stream().filter(Task::isStartUnconfirmed).count(),
+                  released.stream().filter(t -> t.mayStartLate(server.listRequestedMs)).count(),
                   server.leases.source(),
                   now.steadyMs() - server.unresponsiveSinceMs));
       released.forEach(
@@ -52,18 +52,20 @@
    * Returns the time at which a task of an unresponsive backend server may start elsewhere, in
    * milliseconds of the monotonic clock.
    *
-   * <p>A start without an answer may have been carried out by a later incarnation, and nothing but
-   * its leases' expiry shows that the run has ended. A lasting task that has served before can't be
-   * out of service for long, so the longest lease counts from the last time at which the backend
-   * server was certainly up: it was lost later, and the task is awaited from its loss on.
+   * <p>A start without an answer, or an earlier copy of one that had an answer, may have been
+   * carried out by a later incarnation, and nothing but its leases' expiry shows that the run has
+   * ended. A lasting task that has served before can't be out of service for long, so the longest
+   * lease counts from the last time at which the backend server was certainly up: it was lost
+   * later, and the task is awaited from its loss on.
    */
   private static long releasableMs(Task task, Server server) {
     long knownMs = server.leases.expiredMs();
-    if (!task.isStartUnconfirmed()) {
+    if (!task.mayStartLate(server.listRequestedMs)) {
       return knownMs;
     }
     long unknownMs = server.leases.unknownIncarnationExpiredMs();
-    if (!task.step.lasting() || task.run == 1) {
+    boolean mayHaveServed = task.run > 1 || !task.isStartUnconfirmed();
+    if (!task.step.lasting() || !mayHaveServed) {
       return unknownMs;
     }
     long afterEndMs = task.lastEndListedMs == 0 ? 0 : task.lastEndListedMs + MAX_LASTING_OUTAGE_MS;
--- a/core/src/main/java/dev/toucanstall/core/plan/Task.java
+++ b/core/src/main/java/dev/toucanstall/core/plan/Task.java
@@ -79,6 +79,12 @@
    */
   long startArrivesUntilMs;
 
+  /**
+   * Time until which a copy of the start may arrive that was sent before another one and had no
+   * answer, in milliseconds of the monotonic clock, 0 if there is none.
+   */
+  long copyArrivesUntilMs;
+
   /** Time at which the start was last sent or confirmed, in milliseconds of the monotonic clock. */
   long orderedMs;
 
@@ -178,6 +184,7 @@
     startUnanswered = false;
     startsSent = 0;
     startArrivesUntilMs = 0;
+    copyArrivesUntilMs = 0;
     startGivenUpMs = 0;
     stopSent = false;
     stopUndelivered = false;
@@ -201,6 +208,24 @@
     return run > 0 || phase != TaskPhase.WAITING;
   }
 
+  /**
+   * Returns whether a start of this run may arrive that no answer or list accounts for.
+   *
+   * @param timeMs a time in milliseconds of the monotonic clock
+   * @return true if one may arrive after that time
+   */
+  boolean mayStartLate(long timeMs) {
+    return isStartUnconfirmed() || copyArrivesUntilMs > timeMs;
+  }
+
+  /**
+   * Returns the phase to store. A running task whose start may arrive again is stored as ordered,
+   * so that the next planner awaits that start, too.
+   */
+  private TaskPhase storedPhase() {
+    return phase == TaskPhase.RUNNING && copyArrivesUntilMs > 0 ? TaskPhase.ORDERED : phase;
+  }
+
   /** Returns the task's part of the record of its job's progress. */
   TaskProgress progressRecord() {
     Server on = server;
@@ -208,7 +233,7 @@
         key.occurrence(),
         key.step(),
         key.index(),
-        phase,
+        storedPhase(),
         run,
         on == null ? "" : on.entry.id(),
         on == null ? "" : on.entry.address().toString(),
