Store a young backend server that no token has reached yet

What callers saw: two runs of a task at once after two changes of planners. The second planner listed a later incarnation that the first had not known, never reached it and stored nothing of it; the third one counted from the second one's last confirmation, and took an incarnation that was up for 6 s for a known one. Change: whether earlier planners may have left leases is decided from the entry, at the listing, by the start time and the monotonic clock in it. Such a backend server is in the record from then on, not from its first answer. Test: thirdPlannerAwaitsLeaseOfIncarnationThatSecondPlannerNeverReached fails on the commit before.

--- a/core/src/main/java/dev/toucanstall/core/lease/LeaseBound.java
+++ b/core/src/main/java/dev/toucanstall/core/lease/LeaseBound.java
@@ -64,12 +64,6 @@
    */
   private long formerClockEndMs;
 
-  /** Start time after which earlier planners did not know an incarnation for certain. */
-  private long knownIfStartedBeforeMs = Long.MAX_VALUE;
-
-  /** Time until which orders of earlier planners may arrive. */
-  private long earlierOrdersEndMs;
-
   /**
    * Time by which the leases have expired that an unknown later incarnation may have given on
    * orders of this planner or of earlier ones.
@@ -88,20 +82,13 @@
   }
 
   /**
-   * Returns the bound of a backend server that is listed for the first time. Earlier planners may
-   * have given it leases on the clock of a former incarnation of which this one does not know.
+   * Returns the bound of a backend server that is listed for the first time.
    *
    * @param nowMs current time
-   * @param knownIfStartedBeforeMs start time before which earlier planners knew an incarnation
-   * @param earlierOrdersEndMs time until which orders of earlier planners may arrive
    * @return the bound
    */
-  public static LeaseBound ofListed(
-      long nowMs, long knownIfStartedBeforeMs, long earlierOrdersEndMs) {
-    LeaseBound bound = new LeaseBound(nowMs + longestMs(), Source.BEFORE_LISTING);
-    bound.knownIfStartedBeforeMs = knownIfStartedBeforeMs;
-    bound.earlierOrdersEndMs = earlierOrdersEndMs;
-    return bound;
+  public static LeaseBound ofListed(long nowMs) {
+    return new LeaseBound(nowMs + longestMs(), Source.BEFORE_LISTING);
   }
 
   /**
@@ -237,12 +224,9 @@
    * incarnation may have given the longest.
    *
    * @param nowMs current time
-   * @param startedMs time at which the incarnation has started at the latest
    */
-  public void tokenSeen(long nowMs, long startedMs) {
-    boolean formerOfEarlierPlanners =
-        startedMs >= knownIfStartedBeforeMs && nowMs < earlierOrdersEndMs;
-    if (formerIncarnation || formerOfEarlierPlanners) {
+  public void tokenSeen(long nowMs) {
+    if (formerIncarnation) {
       formerClockEndMs = endOfLeaseGivenBefore(nowMs, MAX_LEASE_MS);
       expiredMs = formerClockEndMs;
     } else {
--- a/core/src/main/java/dev/toucanstall/core/plan/LeaseRenewalRules.java
+++ b/core/src/main/java/dev/toucanstall/core/plan/LeaseRenewalRules.java
@@ -6,7 +6,6 @@
 import dev.toucanstall.core.job.Queue;
 import dev.toucanstall.core.job.TaskKey;
 import dev.toucanstall.core.job.TaskPhase;
-import dev.toucanstall.core.lease.ServerClock;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
@@ -105,8 +104,7 @@
       plan.markForPlacement(server);
     }
     if (!server.answered) {
-      server.leases.tokenSeen(now.steadyMs(), now.steadyMs() - uptimeMs(listed, now));
-      plan.formerClocks.update(server, now);
+      server.leases.tokenSeen(now.steadyMs());
     }
     server.answered = true;
     server.incarnationShown(held.sentMs());
@@ -134,15 +132,6 @@
     acknowledgeOnceStored(plan, server);
   }
 
-  /**
-   * Returns the time for which an incarnation has been up at least, in milliseconds. The clock from
-   * which start times are taken may be set back, so its monotonic clock has to agree.
-   */
-  private static long uptimeMs(LeaseRenewalResult.Listed listed, Now now) {
-    long sinceStartMs = Math.max(0, now.wallMs() - listed.serverStartTimeMs());
-    return Math.min(sinceStartMs, ServerClock.shortestDurationMs(listed.serverClockMs()));
-  }
-
   /** Has the applied completions acknowledged to the backend server once they are stored. */
   private static void acknowledgeOnceStored(Plan plan, Server server) {
     long completion = server.appliedCompletion;
--- a/core/src/main/java/dev/toucanstall/core/plan/ServerRules.java
+++ b/core/src/main/java/dev/toucanstall/core/plan/ServerRules.java
@@ -3,6 +3,7 @@
 import dev.toucanstall.core.job.ServerEntry;
 import dev.toucanstall.core.job.TaskPhase;
 import dev.toucanstall.core.lease.LeaseBound;
+import dev.toucanstall.core.lease.ServerClock;
 import java.util.List;
 import java.util.Set;
 import java.util.stream.Collectors;
@@ -70,15 +71,11 @@
       restarted(plan, existing, entry, now);
     }
     if (existing == null) {
-      LeaseBound leases =
-          LeaseBound.ofListed(
-              now.steadyMs(),
-              plan.succession.knownIfStartedBeforeMs(),
-              plan.succession.ordersEndMs());
-      Server added = new Server(entry, leases, now.steadyMs());
+      Server added = new Server(entry, LeaseBound.ofListed(now.steadyMs()), now.steadyMs());
       added.moving = plan.moves.mayEnd(entry.id());
       plan.servers.put(added);
-      if (plan.formerClocks.isRestored(entry.id())) {
+      if (plan.formerClocks.isRestored(entry.id())
+          || plan.succession.mayHaveLeftLeases(startedMs(entry, now), now.steadyMs())) {
         added.leases.formerIncarnationKnown();
       }
       plan.formerClocks.update(added, now);
@@ -99,6 +96,20 @@
     existing.unlisted = false;
   }
 
+  /**
+   * Returns the time at which an incarnation has started at the latest, in milliseconds of the
+   * monotonic clock. The clock from which start times are taken may be set back, so the backend
+   * server's monotonic clock has to agree if it is known.
+   */
+  private static long startedMs(ServerEntry entry, Now now) {
+    long sinceStartMs = Math.max(0, now.wallMs() - entry.startTimeMs());
+    long uptimeMs =
+        entry.serverClockMs() == 0
+            ? sinceStartMs
+            : Math.min(sinceStartMs, ServerClock.shortestDurationMs(entry.serverClockMs()));
+    return now.steadyMs() - uptimeMs;
+  }
+
   /** Marks a backend server as removed from the list. Forgets it if it has no tasks. */
   private static void unlist(Plan plan, String id) {
     Server server = plan.servers.get(id);
--- a/core/src/main/java/dev/toucanstall/core/plan/Succession.java
+++ b/core/src/main/java/dev/toucanstall/core/plan/Succession.java
@@ -46,22 +46,18 @@
   }
 
   /**
-   * Returns the time until which orders of earlier planners may arrive that give leases.
+   * Returns whether orders of earlier planners for a former incarnation may yet give leases to one
+   * of which no record tells. The last planner knew an incarnation that was up for some time before
+   * the store last confirmed that planner, and has stored what its successors need to know.
    *
-   * @return the time, in milliseconds of the monotonic clock
-   */
-  long ordersEndMs() {
-    return leasesEndMs + LeaseBound.MAX_LATE_TRANSIT_MS;
-  }
-
-  /**
-   * Returns the start time before which an incarnation was known to the last planner, which has
-   * stored what its successors need to know of the incarnation before.
-   *
-   * @return the time, in milliseconds of the monotonic clock
+   * @param startedMs time at which the incarnation has started at the latest, in milliseconds of
+   *     the monotonic clock
+   * @param nowMs current time, in milliseconds of the monotonic clock
    */
-  long knownIfStartedBeforeMs() {
-    return formerClockLeasesEndMs - LeaseBound.formerClockEndMs(0) - LeaseBound.MAX_DISCOVERY_MS;
+  boolean mayHaveLeftLeases(long startedMs, long nowMs) {
+    long lastConfirmedMs = formerClockLeasesEndMs - LeaseBound.formerClockEndMs(0);
+    return startedMs >= lastConfirmedMs - LeaseBound.MAX_DISCOVERY_MS
+        && nowMs < leasesEndMs + LeaseBound.MAX_LATE_TRANSIT_MS;
   }
 
   /**
--- a/core/src/test/java/dev/toucanstall/core/lease/LeaseBoundTest.java
+++ b/core/src/test/java/dev/toucanstall/core/lease/LeaseBoundTest.java
@@ -12,8 +12,8 @@
   /** Guards against a bound that leaves out an order on its way when a restart is suspected. */
   @Test
   void suspectedRestartAwaitsOrdersOnTheirWay() {
-    LeaseBound bound = LeaseBound.ofListed(0, 0, 0);
-    bound.tokenSeen(10, 0);
+    LeaseBound bound = LeaseBound.ofListed(0);
+    bound.tokenSeen(10);
     bound.restartSuspected(NOW_MS);
     assertThat(bound.expiredMs()).isAtLeast(LeaseBound.formerClockEndMs(NOW_MS));
     assertThat(bound.source()).isEqualTo(LeaseBound.Source.RESTART_SUSPECTED);
@@ -33,11 +33,11 @@
   /** Guards against a first answer after a restart that hides a lease on the former clock. */
   @Test
   void tokenSeenAfterRestartLeavesRoomForLongestLease() {
-    LeaseBound bound = LeaseBound.ofListed(0, 0, 0);
-    bound.tokenSeen(10, 0);
+    LeaseBound bound = LeaseBound.ofListed(0);
+    bound.tokenSeen(10);
     bound.restarted(NOW_MS);
     assertThat(bound.mayBeOnFormerClock(Long.MAX_VALUE - 1)).isTrue();
-    bound.tokenSeen(NOW_MS + 50, NOW_MS);
+    bound.tokenSeen(NOW_MS + 50);
     assertThat(bound.expiredMs()).isAtLeast(NOW_MS + 50 + LeaseBound.MAX_LEASE_MS);
     assertThat(bound.source()).isEqualTo(LeaseBound.Source.FORMER_CLOCK);
     assertThat(bound.mayBeOnFormerClock(bound.expiredMs() - 1)).isTrue();
@@ -48,7 +48,7 @@
   @Test
   void restoredLeaseOnFormerClockOutlastsFirstAnswer() {
     LeaseBound bound = LeaseBound.ofPredecessorsOnFormerClock(NOW_MS, NOW_MS);
-    bound.tokenSeen(NOW_MS - 9_000, 0);
+    bound.tokenSeen(NOW_MS - 9_000);
     assertThat(bound.expiredMs()).isAtLeast(NOW_MS);
     assertThat(bound.expiredMs()).isAtLeast(NOW_MS - 9_000 + LeaseBound.MAX_LEASE_MS);
     assertThat(bound.source()).isEqualTo(LeaseBound.Source.FORMER_CLOCK);
--- a/core/src/test/java/dev/toucanstall/core/plan/OrderWindowTest.java
+++ b/core/src/test/java/dev/toucanstall/core/plan/OrderWindowTest.java
@@ -27,7 +27,7 @@
     ServerEntry entry =
         new ServerEntry(
             "w" + number, 1, "s", address, "dc", false, Resources.NONE, Set.of(), START_MS);
-    return new Server(entry, LeaseBound.ofListed(START_MS, 0, 0), START_MS);
+    return new Server(entry, LeaseBound.ofListed(START_MS), START_MS);
   }
 
   private static OrderWindow.SentOrder order(int number) {
--- a/core/src/test/java/dev/toucanstall/core/plan/SuccessionAfterRestartTest.java
+++ b/core/src/test/java/dev/toucanstall/core/plan/SuccessionAfterRestartTest.java
@@ -33,6 +33,9 @@
   /** Time from a renewal without an answer until its runs are known to have ended. */
   private static final long RENEWED_AGAIN_MS = 2_000;
 
+  /** Time for which a planner can't reach a backend server that is listed, in milliseconds. */
+  private static final long UNREACHED_MS = 6_000;
+
   private static final long SHORT_TASK_MS = 300;
 
   private static final long LONG_TASK_MS = 60_000;
@@ -190,6 +193,19 @@
    * @param step the step of the task
    */
   private SimulatedServer startOnServerThatOnlyLostPlannerKnew(StepSpec step) {
+    holdBackRenewalOfEndedRun();
+    final SimulatedServer later = sim.restart("w1");
+    final long confirmedMs = losePlanner();
+    sim.deliverOnItsWay();
+    sim.run(ELECTED_AFTER_MS);
+    electNextPlanner(confirmedMs);
+    sim.submit("j", step);
+    sim.runUntil(() -> !later.running.isEmpty());
+    return later;
+  }
+
+  /** Lets time pass until the run for which a renewal was held back is known to have ended. */
+  private void holdBackRenewalOfEndedRun() {
     sim.taskLengths = task -> task.job().equals("first") ? SHORT_TASK_MS : LONG_TASK_MS;
     sim.addServer("w1", 10_000);
     sim.electPlanner();
@@ -200,15 +216,13 @@
     sim.holdsBack = order -> false;
     sim.run(RENEWED_AGAIN_MS);
     assertThat(sim.stored.get("p/first")).isInstanceOf(JobRecord.Closed.class);
+  }
+
+  /** Ends the planner; returns the time at which the store has last confirmed it. */
+  private long losePlanner() {
     final long confirmedMs = Objects.requireNonNull(sim.planner).plan.confirmedMs();
-    final SimulatedServer later = sim.restart("w1");
     sim.losePlanner();
-    sim.deliverOnItsWay();
-    sim.run(ELECTED_AFTER_MS);
-    electNextPlanner(confirmedMs);
-    sim.submit("j", step);
-    sim.runUntil(() -> !later.running.isEmpty());
-    return later;
+    return confirmedMs;
   }
 
   /** Asserts that a task starts elsewhere once no lease of its cut off backend server is left. */
@@ -247,8 +261,7 @@
     final SimulatedServer later =
         startOnServerThatOnlyLostPlannerKnew(PlanSimulation.lastingStep(1, 1_000, 0));
     sim.run(CUT_OFF_AFTER_MS);
-    final long confirmedMs = Objects.requireNonNull(sim.planner).plan.confirmedMs();
-    sim.losePlanner();
+    final long confirmedMs = losePlanner();
     later.reachable = false;
     final SimulatedServer other = sim.addServer("w2", 10_000);
     sim.run(ELECTED_AFTER_MS);
@@ -258,6 +271,29 @@
     assertThat(other.running).hasSize(1);
   }
 
+  /**
+   * Guards against the same where the second planner has listed the later incarnation and never
+   * reached it: a renewal of the first one arrives late, before any token.
+   */
+  @Test
+  void thirdPlannerAwaitsLeaseOfIncarnationThatSecondPlannerNeverReached() {
+    holdBackRenewalOfEndedRun();
+    final SimulatedServer later = sim.restart("w1");
+    later.reachable = false;
+    long confirmedMs = losePlanner();
+    sim.run(ELECTED_AFTER_MS);
+    electNextPlanner(confirmedMs);
+    sim.run(UNREACHED_MS);
+    confirmedMs = losePlanner();
+    later.reachable = true;
+    sim.deliverOnItsWay();
+    sim.run(ELECTED_AFTER_MS);
+    electNextPlanner(confirmedMs);
+    sim.submit("j", PlanSimulation.step(1, 1_000));
+    sim.runUntil(() -> !later.running.isEmpty());
+    assertStartedElsewhereLater(later);
+  }
+
   private List<String> serversOnFormerClocks() {
     return sim.records().stream()
         .filter(JobRecord.FormerClockLeases.class::isInstance)
