Await no copy of a start that can't arrive, and no start of a run that was confirmed

What callers would have seen: a lasting task in its first run without one for 13 s after its backend server and the planner are lost together, if its start had been sent twice long ago, or if it was being evacuated. A task that is not lasting, or has not served, is released for its absence only once no copy of its start can arrive: the stop is known only to the incarnation that has answered it.

--- a/core/src/main/java/dev/toucanstall/core/plan/LeaseRenewalRules.java
+++ b/core/src/main/java/dev/toucanstall/core/plan/LeaseRenewalRules.java
@@ -166,6 +166,7 @@
       task.setCheckpoint(active.checkpoint());
     }
     OrderResultRules.storeIfLasting(plan, task);
+    forgetLateCopy(plan, task, now);
     task.startUnanswered = false;
     if (task.phase == TaskPhase.ORDERED) {
       task.setPhase(TaskPhase.RUNNING);
@@ -173,6 +174,14 @@
     }
   }
 
+  /** Forgets a copy of a run's start that can't arrive any more, and stores that it can't. */
+  private static void forgetLateCopy(Plan plan, Task task, Now now) {
+    if (task.copyArrivesUntilMs > 0 && task.copyArrivesUntilMs <= now.steadyMs()) {
+      task.copyArrivesUntilMs = 0;
+      plan.ledger.changed(task.job);
+    }
+  }
+
   /**
    * Sends the stops that have not reached a backend server, also of runs that its lists lack: a
    * start that is on its way may still reach it.
@@ -196,6 +205,7 @@
         server.tasks.stream()
             .filter(t -> !listedTasks.contains(t.key))
             .filter(t -> t.absenceConclusiveAfterMs > 0 && t.absenceConclusiveAfterMs < sentMs)
+            .filter(t -> !t.awaitsLateCopy(now.steadyMs()))
             .toList();
     for (Task task : absent) {
       plan.logEvent("run-absent", "server", server.entry.id(), "task", task.key.toString());
--- a/core/src/main/java/dev/toucanstall/core/plan/Recovery.java
+++ b/core/src/main/java/dev/toucanstall/core/plan/Recovery.java
@@ -109,7 +109,7 @@
     if (!task.phase.bound()) {
       return;
     }
-    restoreStart(task, recorded.phase(), now);
+    restoreStart(task, now);
     task.bind(
         plan.servers.computeIfAbsent(
             recorded.server(), id -> unlistedServer(id, recorded, task, now)));
@@ -121,12 +121,9 @@
    * <p>The start of a run that was only ordered may not have been sent, or be on its way and reach
    * a later incarnation that has seen no fencing token. So its absence from a list is not
    * conclusive; the same start is sent again instead, under this planner's token.
-   *
-   * @param stored phase that the last planner has stored; only a running one shows that the start
-   *     had an answer
    */
-  private static void restoreStart(Task task, TaskPhase stored, Now now) {
-    task.startUnanswered = stored != TaskPhase.RUNNING;
+  private static void restoreStart(Task task, Now now) {
+    task.startUnanswered = task.phase != TaskPhase.RUNNING;
     task.orderedMs = now.steadyMs();
     if (task.startUnanswered) {
       task.startArrivesUntilMs = now.steadyMs() + LeaseBound.MAX_TRANSIT_MS;
--- a/core/src/main/java/dev/toucanstall/core/plan/Task.java
+++ b/core/src/main/java/dev/toucanstall/core/plan/Task.java
@@ -219,11 +219,25 @@
   }
 
   /**
-   * Returns the phase to store. A running task whose start may arrive again is stored as ordered,
-   * so that the next planner awaits that start, too.
+   * Returns whether a copy of the start may yet be carried out by a later incarnation, though the
+   * lists lack the run: a stop is known only to the incarnation that has answered it. A lasting
+   * task that has served can't wait for that.
+   */
+  boolean awaitsLateCopy(long nowMs) {
+    boolean mayHaveServed = step.lasting() && run > 1;
+    return copyArrivesUntilMs > nowMs && !mayHaveServed && !job.phase.ended();
+  }
+
+  /**
+   * Returns the phase to store, from which the next planner takes whether a start may arrive: a
+   * running task whose start may arrive again is stored as ordered. So is a lasting task that is
+   * being stopped and whose start had no answer, because its stop is decided anew.
    */
   private TaskPhase storedPhase() {
-    return phase == TaskPhase.RUNNING && copyArrivesUntilMs > 0 ? TaskPhase.ORDERED : phase;
+    boolean startsAgain = phase == TaskPhase.RUNNING && copyArrivesUntilMs > 0;
+    boolean stopIsDecidedAnew =
+        phase == TaskPhase.STOPPING && step.lasting() && !job.phase.ended() && startUnanswered;
+    return startsAgain || stopIsDecidedAnew ? TaskPhase.ORDERED : phase;
   }
 
   /** Returns the task's part of the record of its job's progress. */
