A start and an acknowledgement don't leave together for a backend server

What callers would see: a task whose run has ended as done starts again (TWICE).

Cause: an acknowledgement names numbers of ends of one incarnation. If it and a start are both on their way as the backend server starts again, the later incarnation carries the run out, numbers its end anew and forgets it unread; if the planner is lost before an answer, the next one finds no trace of the run and starts it again. An acknowledgement waited for the answers to starts, but a start could leave just after one. And once the wait for answers had run out, later acknowledgements didn't wait at all until a moment without a start under way.

Fix: a start waits for the answer to a renewal that acknowledges, for at most 0.1 s from its sending; it waits in the order window, and stops and other backend servers don't wait behind it. An acknowledgement lets starts that are requested leave first for 20 ms; then further starts wait until those that were sent are answered and it has left, for at most 0.1 s in all. So of the two, one is answered, or 0.1 s have passed, before the other leaves.

What remains: an acknowledgement that is on its way for over 0.1 s, or that waits at a later incarnation for a run to finish while the planner sends a start over 0.1 s later and is lost before its answer.

--- a/core/src/main/java/dev/toucanstall/core/plan/OrderRules.java
+++ b/core/src/main/java/dev/toucanstall/core/plan/OrderRules.java
@@ -26,7 +26,7 @@
   /**
    * Sends the start of a task's run once all changes so far are stored, or runs a fallback if the
    * start is not allowed then. Does neither if the run no longer waits for its start. The start
-   * waits further while as many orders are under way as may be.
+   * waits further while as many orders are under way as may be, or an acknowledgement is.
    */
   private static void sendOnceStored(Plan plan, Task task, Consumer<Now> fallback) {
     long run = task.run;
@@ -37,7 +37,7 @@
     plan.orders.startRequested(server);
     plan.ledger.runOnceStored(
         (now, out) ->
-            plan.orders.submit(
+            plan.orders.submitStart(
                 server, later -> sendIfAwaited(plan, server, task, run, fallback, later), now));
   }
 
--- a/core/src/main/java/dev/toucanstall/core/plan/OrderWindow.java
+++ b/core/src/main/java/dev/toucanstall/core/plan/OrderWindow.java
@@ -4,6 +4,8 @@
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.HashMap;
+import java.util.Iterator;
+import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
 import java.util.Map;
 import java.util.Set;
@@ -13,6 +15,9 @@
  * waits behind more than these. A renewal keeps the runs of a whole backend server and is sent at
  * once; orders beyond the bounds wait here for the answers to earlier ones. Owned by the control
  * thread.
+ *
+ * <p>A start also waits for the answer to a renewal that acknowledges finished runs, for a short
+ * time: a later incarnation that both reach would forget the end of the run unread.
  */
 final class OrderWindow {
 
@@ -25,6 +30,12 @@
    */
   private static final long SLOW_ORDER_MS = 300;
 
+  /**
+   * Longest time for which a start waits for the answer to a renewal that acknowledges, counted
+   * from its sending, in milliseconds. The answer may wait for a run to finish.
+   */
+  static final long ACKNOWLEDGEMENT_ARRIVAL_MS = 100;
+
   /** Most orders under way at one backend server. */
   static final int MAX_UNDER_WAY_PER_SERVER = 32;
 
@@ -82,6 +93,9 @@
   /** Backend servers with waiting orders that may have another order under way. */
   private final Set<Server> sendable = new LinkedHashSet<>();
 
+  /** Starts that wait for a renewal that acknowledges, by backend server. */
+  private final Map<Server, Deque<WaitingOrder>> heldStarts = new LinkedHashMap<>();
+
   private int unsentStarts;
 
   /** Counts a start that is requested and not sent. */
@@ -133,6 +147,43 @@
     sendWaiting(now);
   }
 
+  /**
+   * Sends a start to a backend server, or lets it wait until fewer orders are under way and no
+   * renewal that acknowledges is due or may be on its way there.
+   */
+  void submitStart(Server server, WaitingOrder start, Now now) {
+    submit(server, later -> sendOrHold(server, start, later), now);
+  }
+
+  private boolean sendOrHold(Server server, WaitingOrder start, Now now) {
+    if (awaitsAcknowledgement(server, now)) {
+      heldStarts.computeIfAbsent(server, s -> new ArrayDeque<>()).add(start);
+      return false;
+    }
+    return start.send(now);
+  }
+
+  private static boolean awaitsAcknowledgement(Server server, Now now) {
+    return server.hasUnansweredAcknowledgement(now.steadyMs() - ACKNOWLEDGEMENT_ARRIVAL_MS)
+        || ServerRules.startsWait(server, now);
+  }
+
+  /** Lets the starts take their turn again that no longer wait for an acknowledgement. */
+  private void resumeHeldStarts(Now now) {
+    Iterator<Map.Entry<Server, Deque<WaitingOrder>>> held = heldStarts.entrySet().iterator();
+    while (held.hasNext()) {
+      Map.Entry<Server, Deque<WaitingOrder>> entry = held.next();
+      Server server = entry.getKey();
+      if (!awaitsAcknowledgement(server, now)) {
+        held.remove();
+        entry
+            .getValue()
+            .forEach(start -> server.waitingOrders.add(later -> sendOrHold(server, start, later)));
+        markSendable(server);
+      }
+    }
+  }
+
   /** Counts an order as under way. */
   void sent(Server server, SentOrder order, Now now) {
     if (!underWay.containsKey(order)) {
@@ -151,13 +202,17 @@
     }
   }
 
-  /** Stops counting orders that have become slow, and sends orders that have waited for them. */
+  /**
+   * Stops counting orders that have become slow, and sends orders that have waited for them or for
+   * acknowledgements.
+   */
   void advance(Now now) {
     UnderWay oldest = recent.peek();
     while (oldest != null && (!oldest.counts || now.steadyMs() - oldest.sentMs >= SLOW_ORDER_MS)) {
       uncount(recent.remove());
       oldest = recent.peek();
     }
+    resumeHeldStarts(now);
     sendWaiting(now);
   }
 
--- a/core/src/main/java/dev/toucanstall/core/plan/Server.java
+++ b/core/src/main/java/dev/toucanstall/core/plan/Server.java
@@ -91,6 +91,14 @@
   /** Number of the newest finished run that was acknowledged to the backend server. */
   long acknowledgedCompletion;
 
+  /**
+   * Number up to which the last renewal that acknowledged did so, for the incarnation known then.
+   */
+  private long sentAcknowledgement;
+
+  /** Time at which that renewal was sent, in milliseconds of the monotonic clock, 0 if none was. */
+  private long acknowledgementSentMs;
+
   /** Number of the newest finished run that has been applied. */
   long appliedCompletion;
 
@@ -301,6 +309,20 @@
         .anyMatch(t -> t.orderedMs >= listRequestedMs && t.orderedMs < sentBeforeMs);
   }
 
+  /** Takes note that a renewal which acknowledges finished runs up to a number is sent. */
+  void acknowledgementSent(long upTo, long nowMs) {
+    sentAcknowledgement = upTo;
+    acknowledgementSentMs = nowMs;
+  }
+
+  /**
+   * Returns whether a renewal that acknowledges was sent after a time, in milliseconds of the
+   * monotonic clock, and has no answer, so that it may be on its way.
+   */
+  boolean hasUnansweredAcknowledgement(long sentAfterMs) {
+    return acknowledgementSentMs > sentAfterMs && sentAcknowledgement > acknowledgedCompletion;
+  }
+
   /**
    * Takes note that an order had no answer: the backend server may have started again meanwhile.
    * Its lists are requested at once, unless they are requested already.
--- a/core/src/main/java/dev/toucanstall/core/plan/ServerRules.java
+++ b/core/src/main/java/dev/toucanstall/core/plan/ServerRules.java
@@ -30,6 +30,12 @@
    */
   private static final long START_ANSWER_MS = 100;
 
+  /**
+   * Time for which a renewal that acknowledges lets starts leave before it, in milliseconds. Then
+   * further starts wait, so that it leaves once those that were sent are answered.
+   */
+  private static final long STARTS_FIRST_MS = 20;
+
   /**
    * Longest time for which a start without an answer withholds acknowledgements, in milliseconds.
    */
@@ -184,6 +190,8 @@
       return 0;
     }
     if (mayAcknowledge(server, now)) {
+      server.acknowledgementSent(server.storedCompletion, now.steadyMs());
+      server.awaitsStartAnswersSinceMs = 0;
       return server.storedCompletion;
     }
     if (server.acknowledgementWithheldSinceMs == 0) {
@@ -260,15 +268,17 @@
   }
 
   /**
-   * Returns whether a renewal that acknowledges has to wait for the answers to starts, which show
-   * whether a later incarnation has begun. One would number its finished runs anew, and forget what
-   * such a renewal acknowledges while it waits there.
+   * Returns whether a renewal that acknowledges has to wait for the answers to starts, at first
+   * also to those that are about to be sent, which show whether a later incarnation has begun. One
+   * would number its finished runs anew, and forget what such a renewal acknowledges while it waits
+   * there.
    */
   private static boolean awaitsStartAnswers(Server server, Now now) {
     boolean awaits =
         server.storedCompletion > server.acknowledgedCompletion
             && server.unresponsiveSinceMs == 0
-            && server.hasUnconfirmedStart(now.steadyMs() + 1);
+            && ((server.unsentStarts > 0 && !startsWait(server, now))
+                || server.hasUnconfirmedStart(now.steadyMs() + 1));
     if (!awaits) {
       server.awaitsStartAnswersSinceMs = 0;
       return false;
@@ -279,6 +289,17 @@
     return now.steadyMs() - server.awaitsStartAnswersSinceMs <= START_ANSWER_MS;
   }
 
+  /**
+   * Returns whether starts have to wait until a renewal that acknowledges has left, as it has
+   * waited for their answers for a while. It leaves soon after, whether they are answered or not.
+   */
+  static boolean startsWait(Server server, Now now) {
+    long waitedMs = now.steadyMs() - server.awaitsStartAnswersSinceMs;
+    return server.awaitsStartAnswersSinceMs > 0
+        && waitedMs >= STARTS_FIRST_MS
+        && waitedMs <= START_ANSWER_MS;
+  }
+
   /** Returns whether a renewal of a backend server's leases is due. */
   private static boolean needsRenewal(Server server, Now now) {
     if (server.renewalPending || now.steadyMs() < server.nextRenewalMs) {
--- a/core/src/test/java/dev/toucanstall/core/plan/OrderWindowTest.java
+++ b/core/src/test/java/dev/toucanstall/core/plan/OrderWindowTest.java
@@ -80,4 +80,50 @@
     submit(server(98), number + 1, START_MS + 701);
     assertThat(sentOrders).isEqualTo(number + 2);
   }
+
+  private void submitStart(Server server, int number, long nowMs) {
+    window.submitStart(
+        server,
+        now -> {
+          window.sent(server, order(number), now);
+          sentOrders++;
+          return true;
+        },
+        at(nowMs));
+  }
+
+  @Test
+  void startWaitsForAnswerToAcknowledgement() {
+    Server server = server(1);
+    server.acknowledgementSent(7, START_MS);
+    submitStart(server, 0, START_MS);
+    window.advance(at(START_MS + 20));
+    assertThat(sentOrders).isEqualTo(0);
+    server.acknowledgedCompletion = 7;
+    window.advance(at(START_MS + 21));
+    assertThat(sentOrders).isEqualTo(1);
+  }
+
+  /** Guards against starts that wait as long as the answer waits for a run to finish. */
+  @Test
+  void startWaitsForAnswerToAcknowledgementForShortTimeOnly() {
+    Server server = server(1);
+    server.acknowledgementSent(7, START_MS);
+    submitStart(server, 0, START_MS + 60);
+    window.advance(at(START_MS + OrderWindow.ACKNOWLEDGEMENT_ARRIVAL_MS - 1));
+    assertThat(sentOrders).isEqualTo(0);
+    window.advance(at(START_MS + OrderWindow.ACKNOWLEDGEMENT_ARRIVAL_MS));
+    assertThat(sentOrders).isEqualTo(1);
+  }
+
+  /** Guards against stops, and starts at other backend servers, behind a start that waits. */
+  @Test
+  void startThatAwaitsAcknowledgementHoldsBackNoOtherOrder() {
+    Server server = server(1);
+    server.acknowledgementSent(7, START_MS);
+    submitStart(server, 0, START_MS);
+    submit(server, 1, START_MS);
+    submitStart(server(2), 2, START_MS);
+    assertThat(sentOrders).isEqualTo(2);
+  }
 }
