LateOrderRandomTest: further orders, a second loss of the planner, a second restart

A series may have each of the three more than once, and the test asserts that each came up. A planner that awaits leases for 4 s too long is found by the bound of 11 s for lasting tasks.

--- a/core/src/test/java/dev/toucanstall/core/plan/LateOrderMonitor.java
+++ b/core/src/test/java/dev/toucanstall/core/plan/LateOrderMonitor.java
@@ -24,6 +24,9 @@
   /** Time between two observations, in milliseconds. */
   static final long INTERVAL_MS = 20;
 
+  /** Words by which a violation names a lasting task that was without a run for too long. */
+  static final String OUTAGE = "without a run";
+
   /** Start of the names of jobs that are not traced. */
   static final String SHORT_JOB = "short";
 
@@ -167,8 +170,8 @@
     long calmSinceMs = Math.max(sinceMs, lastDisruptionMs);
     if (nowMs() > calmSinceMs + MAX_OUTAGE_MS && reportedOutages.add(task)) {
       outages.add(
-          "%s without a run, no disruption since %+d ms"
-              .formatted(name(task), calmSinceMs - orderedMs));
+          "%s %s, no disruption since %+d ms"
+              .formatted(name(task), OUTAGE, calmSinceMs - orderedMs));
     }
   }
 
--- a/core/src/test/java/dev/toucanstall/core/plan/LateOrderRandomTest.java
+++ b/core/src/test/java/dev/toucanstall/core/plan/LateOrderRandomTest.java
@@ -32,14 +32,17 @@
   /** Time for which a broken planner doesn't await the leases of earlier ones. */
   private static final long UNAWAITED_MS = 4_000;
 
+  /** Time for which a broken planner awaits the leases of earlier ones once they have expired. */
+  private static final long EXCESS_WAIT_MS = 4_000;
+
   /** Number of series in which each combination came up. */
   private final Map<Combination, Integer> seenCounts = new LinkedHashMap<>();
 
   /** Number of those in which the later incarnation carried out the order. */
   private final Map<Combination, Integer> carriedOutCounts = new LinkedHashMap<>();
 
-  /** Number of those in which the next planner was lost as well. */
-  private int secondLossCount;
+  /** Number of series in which something happened more than once, by its name. */
+  private final Map<String, Integer> repeatedCounts = new LinkedHashMap<>();
 
   /**
    * Guards against two runs of a task at once, as a planner takes a lease for expired that it
@@ -68,6 +71,18 @@
     assertWithMessage("violations found").that(found).isTrue();
   }
 
+  /** Guards against a random test that would not notice lasting tasks that wait for too long. */
+  @Test
+  void plannerThatAwaitsLeasesForTooLongViolatesInvariants() {
+    boolean found = false;
+    for (long seed = FIRST_SEED; seed < FIRST_SEED + FULL_SEED_COUNT && !found; seed++) {
+      found =
+          runSeed(seed, boundMs -> boundMs + EXCESS_WAIT_MS).stream()
+              .anyMatch(v -> v.contains(LateOrderMonitor.OUTAGE));
+    }
+    assertWithMessage("outages found").that(found).isTrue();
+  }
+
   /** Asserts that each combination came up, unless too few seeds were run to draw all. */
   private void assertAllCombinationsSeen() {
     if (SEED_COUNT < FULL_SEED_COUNT) {
@@ -76,7 +91,9 @@
     assertWithMessage("combinations that came up: %s", counts())
         .that(seenCounts.keySet())
         .containsAtLeastElementsIn(COMBINATIONS);
-    assertWithMessage("series with two losses of a planner").that(secondLossCount).isAtLeast(1);
+    assertWithMessage("what happened more than once: %s", repeatedCounts)
+        .that(repeatedCounts)
+        .hasSize(3);
   }
 
   private String counts() {
@@ -87,7 +104,7 @@
                 "%n%s: %d, carried out %d"
                     .formatted(
                         c, seenCounts.getOrDefault(c, 0), carriedOutCounts.getOrDefault(c, 0))));
-    return text.append("%ntwo planners lost: %d%n".formatted(secondLossCount)).toString();
+    return text.append("%nmore than once: %s%n".formatted(repeatedCounts)).toString();
   }
 
   /** Runs the series of a seed; returns the violations, each with the trace of its series. */
@@ -113,7 +130,7 @@
     if (seen != null) {
       seenCounts.merge(seen, 1, Integer::sum);
       carriedOutCounts.merge(seen, series.wasCarriedOut() ? 1 : 0, Integer::sum);
-      secondLossCount += series.plannersLost() > 1 ? 1 : 0;
+      series.repeated().forEach(name -> repeatedCounts.merge(name, 1, Integer::sum));
     }
   }
 }
--- a/core/src/test/java/dev/toucanstall/core/plan/LateOrderSeries.java
+++ b/core/src/test/java/dev/toucanstall/core/plan/LateOrderSeries.java
@@ -120,11 +120,22 @@
   /** Time after the restart in which a cut awaits the first run, in milliseconds. */
   private static final long MAX_RUN_WAIT_MS = 4_000;
 
+  /** In one of so many series further orders are on their way as well. */
+  private static final int FURTHER_ORDERS_INTERVAL = 3;
+
+  /** One in so many servers that start again does so twice. */
+  private static final int SECOND_RESTART_INTERVAL = 6;
+
+  /** Shortest and longest time between the two restarts, in milliseconds. */
+  private static final int MIN_SECOND_RESTART_MS = 200;
+
+  private static final int MAX_SECOND_RESTART_MS = 3_000;
+
   private static final int MIN_ELECTION_MS = 300;
   private static final int MAX_ELECTION_MS = 2_000;
 
   /** One in so many planners that were elected in a series is lost, too. */
-  private static final int SECOND_LOSS_INTERVAL = 3;
+  private static final int SECOND_LOSS_INTERVAL = 4;
 
   /** Shortest and longest time from the election to that loss, in milliseconds. */
   private static final int MIN_SECOND_LOSS_MS = 300;
@@ -167,6 +178,8 @@
   /** Time of the cut, 0 if there was none. */
   private long cutMs;
 
+  private boolean cutOff;
+
   /** Whether the backend server will be cut off once something runs on it. */
   private boolean cutAwaitsRun;
 
@@ -179,6 +192,8 @@
   private @Nullable SimulatedServer later;
 
   private boolean carriedOut;
+  private int ordersDelivered;
+  private boolean restartedTwice;
 
   /**
    * Creates a series.
@@ -220,9 +235,14 @@
     return carriedOut;
   }
 
-  /** Returns the number of planners that were lost. */
-  int plannersLost() {
-    return plannersLost;
+  /** Returns what happened more than once: planners lost, orders on their way, restarts. */
+  List<String> repeated() {
+    return Stream.of(
+            plannersLost > 1 ? "planner lost" : "",
+            ordersDelivered > 1 ? "order on its way" : "",
+            restartedTwice ? "restart" : "")
+        .filter(name -> !name.isEmpty())
+        .toList();
   }
 
   /** Returns the faults, and the runs of the jobs that violations name, oldest first. */
@@ -331,7 +351,6 @@
     while (orderedMs == 0 && nowMs() < endMs) {
       run(LateOrderMonitor.INTERVAL_MS);
     }
-    sim.holdsBack = order -> false;
   }
 
   private void bringAboutRenewal() {
@@ -360,11 +379,18 @@
     return sim.requireServer(PlanSimulation.serverIdOf(order));
   }
 
-  /** Holds back the first order that is wanted, and none after it. */
+  /**
+   * Holds back the first order that is wanted, and in some series those after it that give a lease
+   * to the same incarnation.
+   */
   private void holdBackFirst(Predicate<PlanEffect> isWanted) {
+    final boolean holdsMore = sim.random.nextInt(FURTHER_ORDERS_INTERVAL) == 0;
     sim.holdsBack =
         order -> {
-          if (orderedMs > 0 || !isWanted.test(order)) {
+          if (orderedMs > 0) {
+            return holdsMore && isForFormer(order);
+          }
+          if (!isWanted.test(order)) {
             return false;
           }
           orderedMs = nowMs();
@@ -374,6 +400,14 @@
         };
   }
 
+  private boolean isForFormer(PlanEffect order) {
+    SimulatedServer target = former;
+    return target != null
+        && restartedMs == 0
+        && (order instanceof PlanEffect.Start || givesLeaseTo(order, target.id))
+        && PlanSimulation.serverIdOf(order).equals(target.id);
+  }
+
   private static String name(PlanEffect order) {
     return order instanceof PlanEffect.Start start
         ? "start of run %d of %s".formatted(start.run(), LateOrderMonitor.name(start.task()))
@@ -463,14 +497,28 @@
   /** Starts the target again; its first report reaches the store a little later. */
   private void restart(SimulatedServer target) {
     restartedMs = nowMs();
-    SimulatedServer restarted = sim.restartServer(target);
+    beginIncarnation(target);
+    if (sim.random.nextInt(SECOND_RESTART_INTERVAL) == 0) {
+      sim.after(drawMs(MIN_SECOND_RESTART_MS, MAX_SECOND_RESTART_MS), this::restartAgain);
+    }
+  }
+
+  private void restartAgain() {
+    SimulatedServer ended = Objects.requireNonNull(later);
+    ended.crash();
+    restartedTwice = true;
+    beginIncarnation(ended);
+  }
+
+  private void beginIncarnation(SimulatedServer ended) {
+    SimulatedServer restarted = sim.restartServer(ended);
     later = restarted;
     restarted.lastReportMs = 0;
     restarted.reachesStore = false;
-    restarted.reachable = cutMs == 0;
+    restarted.reachable = !cutOff;
     sim.after(
         sim.random.nextInt(MAX_ENTRY_DELAY_MS), () -> restarted.reachesStore = restarted.reachable);
-    monitor.disrupt("starts again: " + target.id);
+    monitor.disrupt("starts again: " + ended.id);
   }
 
   /** Has the order carried out by the later incarnation, also behind a cut. */
@@ -478,6 +526,7 @@
     SimulatedServer restarted = Objects.requireNonNull(later);
     final boolean reachable = restarted.reachable;
     final long leaseExpiryMs = restarted.leaseExpiryMs;
+    ordersDelivered = sim.heldBack.size();
     restarted.reachable = true;
     sim.deliverOnItsWay();
     restarted.reachable = reachable;
@@ -536,6 +585,7 @@
   /** Cuts the target off until some time after the last contact. */
   private void cutOffNow() {
     cutMs = nowMs();
+    cutOff = true;
     setReachable(false);
     monitor.setDisrupted(true, "cut off");
     long endMs = monitor.lastContactMs() + drawMs(MIN_CUT_MS, MAX_CUT_MS);
@@ -543,6 +593,7 @@
   }
 
   private void endCut() {
+    cutOff = false;
     setReachable(true);
     monitor.setDisrupted(false, "cut ends");
   }
