--- a/core/src/test/java/dev/toucanstall/core/plan/LateOrderSeries.java
+++ b/core/src/test/java/dev/toucanstall/core/plan/LateOrderSeries.java
@@ -588,10 +588,15 @@
     cutOff = true;
     setReachable(false);
     monitor.setDisrupted(true, "cut off");
-    long endMs = monitor.lastContactMs() + drawMs(MIN_CUT_MS, MAX_CUT_MS);
+    long endMs = monitor.lastContactMs() + drawCutMs();
     sim.after(Math.max(0, endMs - nowMs()), this::endCut);
   }
 
+  /** Draws the length of a cut; half of them are the longest. */
+  private long drawCutMs() {
+    return sim.random.nextBoolean() ? MAX_CUT_MS : drawMs(MIN_CUT_MS, MAX_CUT_MS);
+  }
+
   private void endCut() {
     cutOff = false;
     setReachable(true);
