Count the permission to start for tasks that don't last only

Change: the 2.5 s for which a planner may send starts after its last confirmation are awaited by the next one for tasks that don't last. For a lasting task the fault remains, as known red: leaseOfStartOfLastingTaskLongAfterLastConfirmationIsAwaited.

--- a/core/src/main/java/dev/toucanstall/core/lease/LeaseBound.java
+++ b/core/src/main/java/dev/toucanstall/core/lease/LeaseBound.java
@@ -95,16 +95,14 @@
    * Returns the bound of a backend server that an earlier planner's records name.
    *
    * @param leasesEndMs time at which all leases of earlier planners have expired
-   * @param unknownIncarnationEndMs time at which the leases have expired that an incarnation of
-   *     which earlier planners have not learned may have given on their orders
-   * @param lastContactEndMs the same, if it was up until the store last confirmed them
+   * @param formerClockEndMs time at which their leases on the clock of a former incarnation have
+   *     expired, if there are any
    * @return the bound
    */
-  public static LeaseBound ofPredecessors(
-      long leasesEndMs, long unknownIncarnationEndMs, long lastContactEndMs) {
+  public static LeaseBound ofPredecessors(long leasesEndMs, long formerClockEndMs) {
     LeaseBound bound = new LeaseBound(leasesEndMs, Source.PREDECESSOR);
-    bound.unknownIncarnationEndMs = unknownIncarnationEndMs;
-    bound.lastContactEndMs = lastContactEndMs;
+    bound.unknownIncarnationEndMs = formerClockEndMs;
+    bound.lastContactEndMs = formerClockEndMs;
     return bound;
   }
 
@@ -113,15 +111,12 @@
    * may be on the clock of a former incarnation.
    *
    * @param formerClockEndMs time at which all such leases of earlier planners have expired
-   * @param unknownIncarnationEndMs time at which the leases have expired that an incarnation of
-   *     which earlier planners have not learned may have given on their orders
    * @return the bound
    */
-  public static LeaseBound ofPredecessorsOnFormerClock(
-      long formerClockEndMs, long unknownIncarnationEndMs) {
+  public static LeaseBound ofPredecessorsOnFormerClock(long formerClockEndMs) {
     LeaseBound bound = new LeaseBound(formerClockEndMs, Source.FORMER_CLOCK);
     bound.formerIncarnation = true;
-    bound.unknownIncarnationEndMs = unknownIncarnationEndMs;
+    bound.unknownIncarnationEndMs = formerClockEndMs;
     bound.lastContactEndMs = formerClockEndMs;
     return bound;
   }
--- a/core/src/main/java/dev/toucanstall/core/plan/LeaseExpiryRules.java
+++ b/core/src/main/java/dev/toucanstall/core/plan/LeaseExpiryRules.java
@@ -22,7 +22,7 @@
    */
   static void leasesExpired(Plan plan, Server server, Now now) {
     List<Task> released =
-        server.tasks.stream().filter(t -> now.steadyMs() >= releasableMs(t, server)).toList();
+        server.tasks.stream().filter(t -> now.steadyMs() >= releasableMs(plan, t, server)).toList();
     if (!released.isEmpty()) {
       ServerRules.logServerEvent(
           plan,
@@ -39,7 +39,7 @@
           t ->
               plan.releaseEnded(
                   t,
-                  new RunEvidence(RunEvidence.Kind.LEASES_EXPIRED, releasableMs(t, server)),
+                  new RunEvidence(RunEvidence.Kind.LEASES_EXPIRED, releasableMs(plan, t, server)),
                   now));
     }
     server.answered = false;
@@ -58,14 +58,19 @@
    * lease counts from the last time at which the backend server was certainly up: it was lost
    * later, and the task is awaited from its loss on.
    */
-  private static long releasableMs(Task task, Server server) {
+  private static long releasableMs(Plan plan, Task task, Server server) {
     long knownMs = server.leases.expiredMs();
     if (!task.mayStartLate(server.listRequestedMs)) {
       return knownMs;
     }
     long unknownMs = server.leases.unknownIncarnationExpiredMs();
+    if (!task.step.lasting()) {
+      return task.startArrivesUntilMs == 0
+          ? unknownMs
+          : Math.max(unknownMs, plan.succession.unconfirmedStartLeasesEndMs());
+    }
     boolean mayHaveServed = task.run > 1 || !task.isStartUnconfirmed();
-    if (!task.step.lasting() || !mayHaveServed) {
+    if (!mayHaveServed) {
       return unknownMs;
     }
     long afterEndMs = task.lastEndListedMs == 0 ? 0 : task.lastEndListedMs + MAX_LASTING_OUTAGE_MS;
--- a/core/src/main/java/dev/toucanstall/core/plan/Recovery.java
+++ b/core/src/main/java/dev/toucanstall/core/plan/Recovery.java
@@ -188,11 +188,8 @@
   /** Returns the bound of the leases that earlier planners have given to a backend server. */
   private static LeaseBound restoredLeases(Plan plan, String id) {
     return plan.formerClocks.isRestored(id)
-        ? LeaseBound.ofPredecessorsOnFormerClock(
-            plan.succession.formerClockLeasesEndMs(), plan.succession.unconfirmedStartLeasesEndMs())
+        ? LeaseBound.ofPredecessorsOnFormerClock(plan.succession.formerClockLeasesEndMs())
         : LeaseBound.ofPredecessors(
-            plan.succession.leasesEndMs(),
-            plan.succession.unconfirmedStartLeasesEndMs(),
-            plan.succession.formerClockLeasesEndMs());
+            plan.succession.leasesEndMs(), plan.succession.formerClockLeasesEndMs());
   }
 }
