Keep an unanswered start in mind until it is accounted for, at the incarnation it was sent to

Cause: only the second copy of a start made the first one remembered, and only in the term that sent it. Change: a start without an answer is remembered for 12 s, until a list shows its run if it was the only copy; the next planner does so for a lasting task that is stored as ordered. A later incarnation that has answered refuses the copy, so its lists release the task at once. For a task that doesn't last the record tells nothing of copies, and awaiting one for each such task after each election would cost more than it saves: known red, leaseOfCopyOfListedStartIsAwaitedByNextPlanner. At the first answer the monotonic clock in the lists is looked at, too, as an entry may have none.

--- a/core/src/main/java/dev/toucanstall/core/plan/LeaseRenewalRules.java
+++ b/core/src/main/java/dev/toucanstall/core/plan/LeaseRenewalRules.java
@@ -6,6 +6,7 @@
 import dev.toucanstall.core.job.Queue;
 import dev.toucanstall.core.job.TaskKey;
 import dev.toucanstall.core.job.TaskPhase;
+import dev.toucanstall.core.lease.ServerClock;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
@@ -104,7 +105,7 @@
       plan.markForPlacement(server);
     }
     if (!server.answered) {
-      server.leases.tokenSeen(now.steadyMs());
+      firstAnswer(plan, server, listed, now);
     }
     server.answered = true;
     server.incarnationShown(held.sentMs());
@@ -132,6 +133,20 @@
     acknowledgeOnceStored(plan, server);
   }
 
+  /**
+   * Handles the first lists that an incarnation answers. Its entry may have told its start time by
+   * a wall clock only, which may have been set.
+   */
+  private static void firstAnswer(
+      Plan plan, Server server, LeaseRenewalResult.Listed listed, Now now) {
+    long uptimeMs = ServerClock.shortestDurationMs(listed.serverClockMs());
+    if (plan.succession.mayHaveLeftLeases(now.steadyMs() - uptimeMs, now.steadyMs())) {
+      server.leases.formerIncarnationKnown();
+    }
+    server.leases.tokenSeen(now.steadyMs());
+    plan.formerClocks.update(server, now);
+  }
+
   /** Has the applied completions acknowledged to the backend server once they are stored. */
   private static void acknowledgeOnceStored(Plan plan, Server server) {
     long completion = server.appliedCompletion;
@@ -166,7 +181,9 @@
       task.setCheckpoint(active.checkpoint());
     }
     OrderResultRules.storeIfLasting(plan, task);
-    forgetLateCopy(plan, task, now);
+    if (task.forgetArrivedCopy(now.steadyMs()) && task.step.lasting()) {
+      plan.ledger.changed(task.job);
+    }
     task.startUnanswered = false;
     if (task.phase == TaskPhase.ORDERED) {
       task.setPhase(TaskPhase.RUNNING);
@@ -174,14 +191,6 @@
     }
   }
 
-  /** Forgets a copy of a run's start that can't arrive any more, and stores that it can't. */
-  private static void forgetLateCopy(Plan plan, Task task, Now now) {
-    if (task.copyArrivesUntilMs > 0 && task.copyArrivesUntilMs <= now.steadyMs()) {
-      task.copyArrivesUntilMs = 0;
-      plan.ledger.changed(task.job);
-    }
-  }
-
   /**
    * Sends the stops that have not reached a backend server, also of runs that its lists lack: a
    * start that is on its way may still reach it.
@@ -205,7 +214,7 @@
         server.tasks.stream()
             .filter(t -> !listedTasks.contains(t.key))
             .filter(t -> t.absenceConclusiveAfterMs > 0 && t.absenceConclusiveAfterMs < sentMs)
-            .filter(t -> !t.awaitsLateCopy(now.steadyMs()))
+            .filter(t -> !t.awaitsLateCopy(server, now.steadyMs()))
             .toList();
     for (Task task : absent) {
       plan.logEvent("run-absent", "server", server.entry.id(), "task", task.key.toString());
--- a/core/src/main/java/dev/toucanstall/core/plan/OrderRules.java
+++ b/core/src/main/java/dev/toucanstall/core/plan/OrderRules.java
@@ -2,7 +2,6 @@
 
 import dev.toucanstall.core.job.TaskKey;
 import dev.toucanstall.core.job.TaskPhase;
-import dev.toucanstall.core.lease.LeaseBound;
 import java.util.List;
 import java.util.Set;
 import java.util.function.Consumer;
@@ -63,7 +62,7 @@
   private static void sendStart(Plan plan, Server server, Task task, Now now) {
     plan.orders.sent(server, new OrderWindow.SentOrder(task.key, task.run, false), now);
     if (task.startUnanswered) {
-      task.copyArrivesUntilMs = now.steadyMs() + LeaseBound.MAX_LATE_TRANSIT_MS;
+      task.copyMayArrive(server, now.steadyMs());
     }
     task.startsSent++;
     task.startGivenUpMs = 0;
--- a/core/src/main/java/dev/toucanstall/core/plan/Recovery.java
+++ b/core/src/main/java/dev/toucanstall/core/plan/Recovery.java
@@ -110,9 +110,13 @@
       return;
     }
     restoreStart(task, now);
-    task.bind(
+    Server server =
         plan.servers.computeIfAbsent(
-            recorded.server(), id -> unlistedServer(id, recorded, task, now)));
+            recorded.server(), id -> unlistedServer(id, recorded, task, now));
+    task.bind(server);
+    if (task.step.lasting() && task.phase == TaskPhase.ORDERED) {
+      task.copyMayArrive(server, now.steadyMs());
+    }
   }
 
   /**
--- a/core/src/main/java/dev/toucanstall/core/plan/Task.java
+++ b/core/src/main/java/dev/toucanstall/core/plan/Task.java
@@ -4,6 +4,7 @@
 import dev.toucanstall.core.job.StepSpec;
 import dev.toucanstall.core.job.TaskKey;
 import dev.toucanstall.core.job.TaskPhase;
+import dev.toucanstall.core.lease.LeaseBound;
 import java.util.HashSet;
 import java.util.Set;
 import org.jspecify.annotations.Nullable;
@@ -80,10 +81,13 @@
   long startArrivesUntilMs;
 
   /**
-   * Time until which a copy of the start may arrive that was sent before another one and had no
-   * answer, in milliseconds of the monotonic clock, 0 if there is none.
+   * Time until which a copy of the start may arrive that had no answer, in milliseconds of the
+   * monotonic clock, 0 if there is none.
    */
-  long copyArrivesUntilMs;
+  private long copyArrivesUntilMs;
+
+  /** Start time of the incarnation to which that copy was sent, in Unix milliseconds. */
+  private long copySentToMs;
 
   /** Time at which the start was last sent or confirmed, in milliseconds of the monotonic clock. */
   long orderedMs;
@@ -208,6 +212,27 @@
     return run > 0 || phase != TaskPhase.WAITING;
   }
 
+  /** Takes note that a copy of the start which had no answer may yet arrive. */
+  void copyMayArrive(Server at, long nowMs) {
+    copyArrivesUntilMs = nowMs + LeaseBound.MAX_LATE_TRANSIT_MS;
+    copySentToMs = at.entry.startTimeMs();
+  }
+
+  /**
+   * Takes note that a list shows the run. Forgets a copy of its start that can't arrive any more,
+   * or that is the only one, so that it has arrived.
+   *
+   * @return whether a copy was forgotten
+   */
+  boolean forgetArrivedCopy(long nowMs) {
+    boolean onlyCopy = startsSent == 1 && startArrivesUntilMs == 0;
+    if (copyArrivesUntilMs == 0 || (copyArrivesUntilMs > nowMs && !onlyCopy)) {
+      return false;
+    }
+    copyArrivesUntilMs = 0;
+    return true;
+  }
+
   /**
    * Returns whether a start of this run may arrive that no answer or list accounts for.
    *
@@ -219,13 +244,16 @@
   }
 
   /**
-   * Returns whether a copy of the start may yet be carried out by a later incarnation, though the
-   * lists lack the run: a stop is known only to the incarnation that has answered it. A lasting
-   * task that has served can't wait for that.
+   * Returns whether a copy of the start may yet be carried out by an incarnation after the one
+   * whose lists lack the run: a stop is known only to the incarnation that has answered it. A
+   * lasting task that has served can't wait for that.
    */
-  boolean awaitsLateCopy(long nowMs) {
+  boolean awaitsLateCopy(Server listed, long nowMs) {
     boolean mayHaveServed = step.lasting() && run > 1;
-    return copyArrivesUntilMs > nowMs && !mayHaveServed && !job.phase.ended();
+    return copyArrivesUntilMs > nowMs
+        && copySentToMs == listed.entry.startTimeMs()
+        && !mayHaveServed
+        && !job.phase.ended();
   }
 
   /**
--- a/core/src/test/java/dev/toucanstall/core/plan/LeaseOfForgottenServerTest.java
+++ b/core/src/test/java/dev/toucanstall/core/plan/LeaseOfForgottenServerTest.java
@@ -111,4 +111,28 @@
     assertThat(sim.violations).isEmpty();
     assertThat(later.running.size() + other.running.size()).isEqualTo(1);
   }
+
+  /**
+   * Guards against the same for a start that was sent once: its backend server begins to drain
+   * before it is sent again.
+   */
+  @Test
+  void startThatWasGivenUpAtDrainIsNotCarriedOutByLaterIncarnation() {
+    sim.taskMs = 60_000;
+    sim.addServer("w1", 10_000);
+    sim.electPlanner();
+    sim.run(UPTIME_MS);
+    sim.holdsBack = order -> order instanceof PlanEffect.Start;
+    sim.submit("j", PlanSimulation.step(1, 1_000));
+    final SimulatedServer other = sim.addServer("w2", 10_000);
+    sim.runUntil(() -> !sim.heldBack.isEmpty());
+    sim.requireServer("w1").draining = true;
+    sim.holdsBack = order -> false;
+    sim.run(RENEWED_MS);
+    final SimulatedServer later = sim.restart("w1");
+    sim.deliverOnItsWay();
+    sim.run(ALL_LEASES_MS);
+    assertThat(sim.violations).isEmpty();
+    assertThat(later.running.size() + other.running.size()).isEqualTo(1);
+  }
 }
--- a/core/src/test/java/dev/toucanstall/core/plan/LeaseOfUnknownStartTest.java
+++ b/core/src/test/java/dev/toucanstall/core/plan/LeaseOfUnknownStartTest.java
@@ -174,6 +174,40 @@
     assertThat(later.running.size() + other.running.size()).isEqualTo(1);
   }
 
+  /**
+   * Guards against two runs of a task at once: the start was sent twice, and the next planner sees
+   * the run listed without having sent anything.
+   */
+  private void assertCopyIsAwaitedByNextPlanner(StepSpec step) {
+    sim.taskMs = LONG_TASK_MS;
+    sim.addServer("w1", 10_000);
+    sim.electPlanner();
+    sim.run(UPTIME_MS);
+    sim.holdsBack = order -> order instanceof PlanEffect.Start;
+    sim.submit("j", step);
+    sim.runUntil(() -> !sim.heldBack.isEmpty());
+    sim.holdsBack = order -> false;
+    sim.run(RESENT_MS);
+    final long confirmedMs = lastPlan().confirmedMs();
+    sim.losePlanner();
+    sim.run(ELECTED_AFTER_MS);
+    electNextPlanner(confirmedMs);
+    sim.run(RESENT_MS);
+    final SimulatedServer later = carryOutBehindCut();
+    assertOneRun(later, sim.addServer("w2", 10_000));
+  }
+
+  @Test
+  void leaseOfCopyOfListedStartOfLastingTaskIsAwaitedByNextPlanner() {
+    assertCopyIsAwaitedByNextPlanner(PlanSimulation.lastingStep(1, 1_000, 0));
+  }
+
+  @Test
+  @Tag("known-red")
+  void leaseOfCopyOfListedStartIsAwaitedByNextPlanner() {
+    assertCopyIsAwaitedByNextPlanner(PlanSimulation.step(1, 1_000));
+  }
+
   private Plan lastPlan() {
     PlanSimulation.Planner last = sim.planner;
     if (last == null) {
