Take an incarnation for a known one only if all orders for the one before have arrived

What callers saw: two runs of a task at once. A later incarnation was up for 8 s behind a cut, so the planner never knew it; that planner was lost, the cut ended, and one of its renewals arrived late, before the next planner's first token. The next planner took the incarnation for a known one, as it was up for over 5 s. Change: orders for a former incarnation are older than the later one, and arrive within 12 s. Tests: nextPlannerAwaitsLeaseOfIncarnationThatWasCutOffFromLostPlanner.

--- a/core/src/main/java/dev/toucanstall/core/lease/LeaseBound.java
+++ b/core/src/main/java/dev/toucanstall/core/lease/LeaseBound.java
@@ -28,12 +28,6 @@
    */
   public static final long MAX_LATE_TRANSIT_MS = 12_000;
 
-  /**
-   * Longest time until an incarnation that is up has seen a token that a planner has given for it,
-   * in milliseconds.
-   */
-  public static final long MAX_DISCOVERY_MS = 5_000;
-
   /** Longest time that a slow clock loses between two readings of it, in milliseconds. */
   private static final long CLOCK_DRIFT_MS = 200;
 
--- a/core/src/main/java/dev/toucanstall/core/plan/LeaseExpiryRules.java
+++ b/core/src/main/java/dev/toucanstall/core/plan/LeaseExpiryRules.java
@@ -69,8 +69,7 @@
           ? unknownMs
           : Math.max(unknownMs, plan.succession.unconfirmedStartLeasesEndMs());
     }
-    boolean mayHaveServed = task.run > 1 || !task.isStartUnconfirmed();
-    if (!mayHaveServed) {
+    if (!task.mayHaveServed()) {
       return unknownMs;
     }
     long afterEndMs = task.lastEndListedMs == 0 ? 0 : task.lastEndListedMs + MAX_LASTING_OUTAGE_MS;
--- a/core/src/main/java/dev/toucanstall/core/plan/OrderResultRules.java
+++ b/core/src/main/java/dev/toucanstall/core/plan/OrderResultRules.java
@@ -188,7 +188,7 @@
     task.startGivenUpMs = now.steadyMs();
     Server server = task.server;
     if (server != null) {
-      task.copyMayArrive(server, now.steadyMs());
+      task.copyMayArrive(server, task.orderedMs);
       server.doubtIncarnation(now.steadyMs());
     }
   }
--- a/core/src/main/java/dev/toucanstall/core/plan/OrderRules.java
+++ b/core/src/main/java/dev/toucanstall/core/plan/OrderRules.java
@@ -62,7 +62,7 @@
   private static void sendStart(Plan plan, Server server, Task task, Now now) {
     plan.orders.sent(server, new OrderWindow.SentOrder(task.key, task.run, false), now);
     if (task.startUnanswered) {
-      task.copyMayArrive(server, now.steadyMs());
+      task.copyMayArrive(server, task.orderedMs);
     }
     task.startsSent++;
     task.startGivenUpMs = 0;
--- a/core/src/main/java/dev/toucanstall/core/plan/ServerRules.java
+++ b/core/src/main/java/dev/toucanstall/core/plan/ServerRules.java
@@ -37,6 +37,9 @@
    */
   private static final long STARTS_FIRST_MS = 20;
 
+  /** Longest time until a renewal that is due leaves in a pass, in milliseconds. */
+  private static final long MAX_PASS_INTERVAL_MS = 50;
+
   /**
    * Longest time for which a start without an answer withholds acknowledgements, in milliseconds.
    */
@@ -213,6 +216,7 @@
     if (server.acknowledgementWithheldSinceMs == 0) {
       server.acknowledgementWithheldSinceMs = now.steadyMs();
     }
+    server.awaitsStartAnswersSinceMs = 0;
     server.nextRenewalMs = now.steadyMs() + START_ANSWER_MS;
     return 0;
   }
@@ -313,7 +317,7 @@
     long waitedMs = now.steadyMs() - server.awaitsStartAnswersSinceMs;
     return server.awaitsStartAnswersSinceMs > 0
         && waitedMs >= STARTS_FIRST_MS
-        && waitedMs <= START_ANSWER_MS;
+        && waitedMs <= START_ANSWER_MS + MAX_PASS_INTERVAL_MS;
   }
 
   /** Returns whether a renewal of a backend server's leases is due. */
--- a/core/src/main/java/dev/toucanstall/core/plan/Succession.java
+++ b/core/src/main/java/dev/toucanstall/core/plan/Succession.java
@@ -47,8 +47,8 @@
 
   /**
    * Returns whether orders of earlier planners for a former incarnation may yet give leases to one
-   * of which no record tells. The last planner knew an incarnation that was up for some time before
-   * the store last confirmed that planner, and has stored what its successors need to know.
+   * of which no record tells. Such an order is older than the incarnation, which therefore began
+   * not long before the store last confirmed the planner that sent it.
    *
    * @param startedMs time at which the incarnation has started at the latest, in milliseconds of
    *     the monotonic clock
@@ -56,7 +56,7 @@
    */
   boolean mayHaveLeftLeases(long startedMs, long nowMs) {
     long lastConfirmedMs = formerClockLeasesEndMs - LeaseBound.formerClockEndMs(0);
-    return startedMs >= lastConfirmedMs - LeaseBound.MAX_DISCOVERY_MS
+    return startedMs >= lastConfirmedMs - LeaseBound.MAX_LATE_TRANSIT_MS
         && nowMs < leasesEndMs + LeaseBound.MAX_LATE_TRANSIT_MS;
   }
 
--- a/core/src/main/java/dev/toucanstall/core/plan/Task.java
+++ b/core/src/main/java/dev/toucanstall/core/plan/Task.java
@@ -212,10 +212,16 @@
     return run > 0 || phase != TaskPhase.WAITING;
   }
 
-  /** Takes note that a copy of the start which had no answer may yet arrive. */
-  void copyMayArrive(Server at, long nowMs) {
-    copyArrivesUntilMs = nowMs + LeaseBound.MAX_LATE_TRANSIT_MS;
+  /**
+   * Takes note that a copy of the start which had no answer may yet arrive.
+   *
+   * @param at backend server to which it was sent
+   * @param sentMs time at which it was sent, or later, in milliseconds of the monotonic clock
+   */
+  void copyMayArrive(Server at, long sentMs) {
+    copyArrivesUntilMs = Math.max(copyArrivesUntilMs, sentMs + LeaseBound.MAX_LATE_TRANSIT_MS);
     copySentToMs = at.entry.startTimeMs();
+    job.parts.changed(part);
   }
 
   /**
@@ -230,6 +236,7 @@
       return false;
     }
     copyArrivesUntilMs = 0;
+    job.parts.changed(part);
     return true;
   }
 
@@ -249,13 +256,17 @@
    * lasting task that has served can't wait for that.
    */
   boolean awaitsLateCopy(Server listed, long nowMs) {
-    boolean mayHaveServed = step.lasting() && run > 1;
     return copyArrivesUntilMs > nowMs
         && copySentToMs == listed.entry.startTimeMs()
-        && !mayHaveServed
+        && !(step.lasting() && mayHaveServed())
         && !job.phase.ended();
   }
 
+  /** Returns whether a run of the task may have been at work: an earlier one, or the newest. */
+  boolean mayHaveServed() {
+    return run > 1 || !isStartUnconfirmed();
+  }
+
   /**
    * Returns the phase to store, from which the next planner takes whether a start may arrive: a
    * running task whose start may arrive again is stored as ordered. So is a lasting task that is
--- a/core/src/test/java/dev/toucanstall/core/plan/SuccessionAfterRestartTest.java
+++ b/core/src/test/java/dev/toucanstall/core/plan/SuccessionAfterRestartTest.java
@@ -294,6 +294,29 @@
     assertStartedElsewhereLater(later);
   }
 
+  /**
+   * Guards against the same where the later incarnation was up for long, and cut off for as long,
+   * so that the lost planner never knew it: a renewal of that planner arrives as the cut ends.
+   */
+  @Test
+  void nextPlannerAwaitsLeaseOfIncarnationThatWasCutOffFromLostPlanner() {
+    holdBackRenewalOfEndedRun();
+    final SimulatedServer later = sim.restart("w1");
+    later.reachable = false;
+    later.reachesStore = false;
+    later.lastReportMs = 0;
+    sim.run(UNREACHED_MS);
+    final long confirmedMs = losePlanner();
+    sim.run(ELECTED_AFTER_MS);
+    electNextPlanner(confirmedMs);
+    later.reachable = true;
+    later.reachesStore = true;
+    sim.deliverOnItsWay();
+    sim.submit("j", PlanSimulation.step(1, 1_000));
+    sim.runUntil(() -> !later.running.isEmpty());
+    assertStartedElsewhereLater(later);
+  }
+
   private List<String> serversOnFormerClocks() {
     return sim.records().stream()
         .filter(JobRecord.FormerClockLeases.class::isInstance)
