Tests: a late renewal before the first token, after two elections

The first of the next planners lists the later incarnation and never reaches it; the second would know nothing of it.

--- a/core/src/test/java/dev/toucanstall/core/plan/LeaseBeforeFirstAnswerTest.java
+++ b/core/src/test/java/dev/toucanstall/core/plan/LeaseBeforeFirstAnswerTest.java
@@ -24,6 +24,9 @@
   /** Time from the loss of a planner to the election of the next one, in milliseconds. */
   private static final long ELECTED_AFTER_MS = 600;
 
+  /** Length of a term in which the planner can't reach the later incarnation, in milliseconds. */
+  private static final long SHORT_TERM_MS = 6_000;
+
   /** Length of a cut, in milliseconds. */
   private static final long CUT_MS = 9_500;
 
@@ -58,9 +61,10 @@
    * Has the renewal carried out once the planner has long known the later incarnation, has a task
    * started there and cuts it off; asserts that the task has one run at a time.
    */
-  private void assertLateRenewalIsAwaited(SimulatedServer later, List<PlanEffect> renewals) {
+  private void assertLateRenewalIsAwaited(
+      SimulatedServer later, List<PlanEffect> renewals, long unreachedMs) {
     sim.holdsBack = order -> order instanceof PlanEffect.Hold;
-    sim.run(UNREACHED_MS);
+    sim.run(unreachedMs);
     sim.heldBack.clear();
     sim.heldBack.addAll(renewals);
     sim.deliverOnItsWay();
@@ -85,7 +89,7 @@
     final List<PlanEffect> renewals = holdBackRenewal();
     sim.holdsBack = order -> order instanceof PlanEffect.Hold;
     final SimulatedServer later = sim.restart("w1");
-    assertLateRenewalIsAwaited(later, renewals);
+    assertLateRenewalIsAwaited(later, renewals, UNREACHED_MS);
   }
 
   /** Guards against the same after an election, where no record names the idle backend server. */
@@ -98,6 +102,27 @@
     sim.run(ELECTED_AFTER_MS);
     sim.holdsBack = order -> order instanceof PlanEffect.Hold;
     sim.electPlanner(Succession.of(sim.now().steadyMs(), confirmedMs, 0));
-    assertLateRenewalIsAwaited(later, renewals);
+    assertLateRenewalIsAwaited(later, renewals, UNREACHED_MS);
+  }
+
+  /**
+   * Guards against the same after two elections in a row: the first of the next planners has listed
+   * the later incarnation and never reached it.
+   */
+  @Test
+  void leaseOfLateRenewalIsAwaitedAfterTwoElections() {
+    final List<PlanEffect> renewals = holdBackRenewal();
+    final SimulatedServer later = sim.restart("w1");
+    final long confirmedMs = sim.now().steadyMs();
+    sim.losePlanner();
+    sim.run(ELECTED_AFTER_MS);
+    sim.holdsBack = order -> order instanceof PlanEffect.Hold;
+    sim.electPlanner(Succession.of(sim.now().steadyMs(), confirmedMs, 0));
+    sim.run(SHORT_TERM_MS);
+    final long confirmedLaterMs = sim.now().steadyMs();
+    sim.losePlanner();
+    sim.run(ELECTED_AFTER_MS);
+    sim.electPlanner(Succession.of(sim.now().steadyMs(), confirmedLaterMs, 0));
+    assertLateRenewalIsAwaited(later, renewals, 0);
   }
 }
