--- a/core/src/test/java/dev/toucanstall/core/plan/LateOrderMonitor.java
+++ b/core/src/test/java/dev/toucanstall/core/plan/LateOrderMonitor.java
@@ -63,6 +63,7 @@
   private final Map<String, Long> callsByJob = new LinkedHashMap<>();
   private final Set<TaskKey> lastingTasks = new LinkedHashSet<>();
   private final Map<TaskKey, Long> withoutRunSinceMs = new HashMap<>();
+  private final Set<TaskKey> tasksThatRan = new LinkedHashSet<>();
   private final Set<TaskKey> reportedOutages = new LinkedHashSet<>();
   private final List<String> outages = new ArrayList<>();
   private final List<TraceLine> trace = new ArrayList<>();
@@ -153,6 +154,7 @@
     }
     seenRuns.stream().filter(run -> !present.contains(run)).forEach(run -> note("ends", run));
     present.stream().filter(run -> !seenRuns.contains(run)).forEach(run -> note("begins", run));
+    present.forEach(run -> tasksThatRan.add(run.task()));
     seenRuns = present;
   }
 
@@ -170,8 +172,12 @@
     long calmSinceMs = Math.max(sinceMs, lastDisruptionMs);
     if (nowMs() > calmSinceMs + MAX_OUTAGE_MS && reportedOutages.add(task)) {
       outages.add(
-          "%s %s, no disruption since %+d ms"
-              .formatted(name(task), OUTAGE, calmSinceMs - orderedMs));
+          "%s %s, %s, no disruption since %+d ms"
+              .formatted(
+                  name(task),
+                  OUTAGE,
+                  tasksThatRan.contains(task) ? "has run before" : "has never run",
+                  calmSinceMs - orderedMs));
     }
   }
 
