--- a/core/src/test/java/dev/toucanstall/core/lease/LeaseBoundTest.java
+++ b/core/src/test/java/dev/toucanstall/core/lease/LeaseBoundTest.java
@@ -51,6 +51,8 @@
     bound.tokenSeen(NOW_MS - 9_000);
     assertThat(bound.expiredMs()).isAtLeast(NOW_MS);
     assertThat(bound.expiredMs()).isAtLeast(NOW_MS - 9_000 + LeaseBound.MAX_LEASE_MS);
+    assertThat(bound.expiredMs()).isAtMost(LeaseBound.formerClockEndMs(NOW_MS - 9_000));
+    assertThat(bound.mayBeOnFormerClock(bound.expiredMs())).isFalse();
     assertThat(bound.source()).isEqualTo(LeaseBound.Source.FORMER_CLOCK);
   }
 }
