--- a/core/src/test/java/dev/toucanstall/core/plan/AcknowledgementAtRestartTest.java
+++ b/core/src/test/java/dev/toucanstall/core/plan/AcknowledgementAtRestartTest.java
@@ -244,7 +244,7 @@
     sim.heldBack.addAll(acknowledgements);
     sim.deliverOnItsWay();
     sim.run(1_000);
-    sim.electPlanner(Succession.of(sim.now().steadyMs(), lostMs, 0));
+    sim.electNextPlanner(lostMs);
     sim.run(UPTIME_MS);
     return sim;
   }
--- a/core/src/test/java/dev/toucanstall/core/plan/LastingTaskAfterTwoLossesTest.java
+++ b/core/src/test/java/dev/toucanstall/core/plan/LastingTaskAfterTwoLossesTest.java
@@ -34,7 +34,7 @@
     lost.reachesStore = false;
     final SimulatedServer other = sim.addServer("w2", 10_000);
     sim.run(ELECTED_AFTER_MS);
-    sim.electPlanner(Succession.of(sim.now().steadyMs(), confirmedMs, 0));
+    sim.electNextPlanner(confirmedMs);
     sim.run(MAX_OUTAGE_MS - ELECTED_AFTER_MS);
     assertThat(sim.violations).isEmpty();
     assertThat(other.running).hasSize(1);
--- a/core/src/test/java/dev/toucanstall/core/plan/LaterIncarnationTest.java
+++ b/core/src/test/java/dev/toucanstall/core/plan/LaterIncarnationTest.java
@@ -39,10 +39,6 @@
     return order instanceof PlanEffect.Hold renewal && renewal.acknowledgedCompletion() > 0;
   }
 
-  private static boolean givesLease(PlanEffect order) {
-    return order instanceof PlanEffect.Hold renewal && renewal.leaseExpiryMs() > 0;
-  }
-
   private static Set<String> runningJobs(SimulatedServer server) {
     return server.running.keySet().stream().map(t -> t.job()).collect(Collectors.toSet());
   }
@@ -125,7 +121,7 @@
     PlanSimulation sim = simulationWithPlanner();
     sim.submit("j", PlanSimulation.lastingStep(2, 1_000, 0));
     sim.run(2_000);
-    sim.holdsBack = LaterIncarnationTest::givesLease;
+    sim.holdsBack = PlanSimulation::givesLease;
     sim.runUntil(() -> !sim.heldBack.isEmpty());
     final SimulatedServer later = restart(sim);
     sim.holdsBack = order -> false;
@@ -149,7 +145,7 @@
     PlanSimulation sim = simulationWithPlanner();
     sim.submit("j", PlanSimulation.lastingStep(2, 1_000, 0));
     sim.run(2_000);
-    sim.holdsBack = LaterIncarnationTest::givesLease;
+    sim.holdsBack = PlanSimulation::givesLease;
     sim.runUntil(() -> !sim.heldBack.isEmpty());
     sim.holdsBack = order -> false;
     final SimulatedServer later = restart(sim);
--- a/core/src/test/java/dev/toucanstall/core/plan/LeaseBeforeFirstAnswerTest.java
+++ b/core/src/test/java/dev/toucanstall/core/plan/LeaseBeforeFirstAnswerTest.java
@@ -35,10 +35,6 @@
 
   private final PlanSimulation sim = new PlanSimulation(1);
 
-  private static boolean givesLease(PlanEffect effect) {
-    return effect instanceof PlanEffect.Hold renewal && renewal.leaseExpiryMs() > 0;
-  }
-
   /** Has a renewal with a lease held back on its way to "w1", and "w1" idle afterwards. */
   private List<PlanEffect> holdBackRenewal() {
     sim.taskMs = 1_000;
@@ -47,7 +43,7 @@
     sim.run(UPTIME_MS);
     sim.submit("short", PlanSimulation.step(1, 1_000));
     sim.run(300);
-    sim.holdsBack = LeaseBeforeFirstAnswerTest::givesLease;
+    sim.holdsBack = PlanSimulation::givesLease;
     sim.runUntil(() -> !sim.heldBack.isEmpty());
     sim.holdsBack = order -> false;
     final List<PlanEffect> renewals = List.copyOf(sim.heldBack);
@@ -101,7 +97,7 @@
     sim.losePlanner();
     sim.run(ELECTED_AFTER_MS);
     sim.holdsBack = order -> order instanceof PlanEffect.Hold;
-    sim.electPlanner(Succession.of(sim.now().steadyMs(), confirmedMs, 0));
+    sim.electNextPlanner(confirmedMs);
     assertLateRenewalIsAwaited(later, renewals, UNREACHED_MS);
   }
 
@@ -117,12 +113,12 @@
     sim.losePlanner();
     sim.run(ELECTED_AFTER_MS);
     sim.holdsBack = order -> order instanceof PlanEffect.Hold;
-    sim.electPlanner(Succession.of(sim.now().steadyMs(), confirmedMs, 0));
+    sim.electNextPlanner(confirmedMs);
     sim.run(SHORT_TERM_MS);
     final long confirmedLaterMs = sim.now().steadyMs();
     sim.losePlanner();
     sim.run(ELECTED_AFTER_MS);
-    sim.electPlanner(Succession.of(sim.now().steadyMs(), confirmedLaterMs, 0));
+    sim.electNextPlanner(confirmedLaterMs);
     assertLateRenewalIsAwaited(later, renewals, 0);
   }
 }
--- a/core/src/test/java/dev/toucanstall/core/plan/LeaseOfForgottenServerTest.java
+++ b/core/src/test/java/dev/toucanstall/core/plan/LeaseOfForgottenServerTest.java
@@ -33,24 +33,11 @@
 
   private final PlanSimulation sim = new PlanSimulation(1);
 
-  private static boolean givesLease(PlanEffect effect) {
-    return effect instanceof PlanEffect.Hold renewal && renewal.leaseExpiryMs() > 0;
-  }
-
   private void cutOff(SimulatedServer server) {
     server.reachable = false;
     server.reachesStore = false;
   }
 
-  /** Asserts that a task has one run at a time until the cut ends and all leases are out. */
-  private void assertOneRun(SimulatedServer later, SimulatedServer other) {
-    sim.run(CUT_MS);
-    later.reachable = true;
-    sim.run(ALL_LEASES_MS);
-    assertThat(sim.violations).isEmpty();
-    assertThat(later.running.size() + other.running.size()).isEqualTo(1);
-  }
-
   /**
    * Guards against two runs of a task at once: a renewal for a former incarnation gives the longest
    * lease, the planner has stored that and forgets it as the entry of the idle backend server is
@@ -64,7 +51,7 @@
     sim.run(UPTIME_MS);
     sim.submit("short", PlanSimulation.step(1, 1_000));
     sim.run(300);
-    sim.holdsBack = LeaseOfForgottenServerTest::givesLease;
+    sim.holdsBack = PlanSimulation::givesLease;
     sim.runUntil(() -> !sim.heldBack.isEmpty());
     sim.holdsBack = order -> false;
     sim.run(RENEWED_MS);
@@ -79,13 +66,13 @@
     sim.losePlanner();
     later.reachesStore = true;
     sim.run(ELECTED_AFTER_MS);
-    sim.electPlanner(Succession.of(sim.now().steadyMs(), confirmedMs, 0));
+    sim.electNextPlanner(confirmedMs);
     sim.taskMs = 60_000;
     sim.submit("long", PlanSimulation.step(1, 1_000));
     sim.runUntil(() -> !later.running.isEmpty());
     sim.run(50);
     cutOff(later);
-    assertOneRun(later, sim.addServer("w2", 10_000));
+    sim.assertOneRunAfterCut(CUT_MS, later, sim.addServer("w2", 10_000));
   }
 
   /**
--- a/core/src/test/java/dev/toucanstall/core/plan/LeaseOfUnknownStartTest.java
+++ b/core/src/test/java/dev/toucanstall/core/plan/LeaseOfUnknownStartTest.java
@@ -45,10 +45,6 @@
     sim.runUntil(() -> !sim.heldBack.isEmpty());
   }
 
-  private void electNextPlanner(long confirmedMs) {
-    sim.electPlanner(Succession.of(sim.now().steadyMs(), confirmedMs, 0));
-  }
-
   /**
    * Has "w1" cut off and started again, and the start carried out there that was on its way.
    *
@@ -67,15 +63,6 @@
     return later;
   }
 
-  /** Asserts that the task has one run at a time until the cut ends and all leases are out. */
-  private void assertOneRun(SimulatedServer later, SimulatedServer other) {
-    sim.run(CUT_MS);
-    later.reachable = true;
-    sim.run(ALL_LEASES_MS);
-    assertThat(sim.violations).isEmpty();
-    assertThat(later.running.size() + other.running.size()).isEqualTo(1);
-  }
-
   /**
    * Guards against two runs of a task at once within one term: an earlier copy of its start had no
    * answer and is carried out by a later incarnation, and the planner counts ordinary leases as a
@@ -88,7 +75,7 @@
     sim.run(RESENT_MS);
     assertThat(sim.requireServer("w1").running).hasSize(1);
     final SimulatedServer later = carryOutBehindCut();
-    assertOneRun(later, sim.addServer("w2", 10_000));
+    sim.assertOneRunAfterCut(CUT_MS, later, sim.addServer("w2", 10_000));
   }
 
   /**
@@ -102,11 +89,11 @@
     sim.losePlanner();
     sim.holdsBack = order -> false;
     sim.run(ELECTED_AFTER_MS);
-    electNextPlanner(confirmedMs);
+    sim.electNextPlanner(confirmedMs);
     sim.run(RESENT_MS);
     assertThat(sim.requireServer("w1").running).hasSize(1);
     final SimulatedServer later = carryOutBehindCut();
-    assertOneRun(later, sim.addServer("w2", 10_000));
+    sim.assertOneRunAfterCut(CUT_MS, later, sim.addServer("w2", 10_000));
   }
 
   /**
@@ -120,7 +107,7 @@
     sim.losePlanner();
     sim.holdsBack = order -> false;
     sim.run(ELECTED_AFTER_MS);
-    electNextPlanner(confirmedMs);
+    sim.electNextPlanner(confirmedMs);
     sim.run(RESENT_MS);
     assertThat(sim.requireServer("w1").running).hasSize(1);
     final long confirmedLaterMs = sim.now().steadyMs();
@@ -128,8 +115,8 @@
     final SimulatedServer later = carryOutBehindCut();
     final SimulatedServer other = sim.addServer("w2", 10_000);
     sim.run(ELECTED_AFTER_MS);
-    electNextPlanner(confirmedLaterMs);
-    assertOneRun(later, other);
+    sim.electNextPlanner(confirmedLaterMs);
+    sim.assertOneRunAfterCut(CUT_MS, later, other);
   }
 
   /**
@@ -168,7 +155,7 @@
     final SimulatedServer other = sim.addServer("w2", 10_000);
     sim.run(ELECTED_AFTER_MS);
     sim.storeAvailable = true;
-    electNextPlanner(confirmedMs);
+    sim.electNextPlanner(confirmedMs);
     sim.run(ALL_LEASES_MS);
     assertThat(sim.violations).isEmpty();
     assertThat(later.running.size() + other.running.size()).isEqualTo(1);
@@ -191,10 +178,10 @@
     final long confirmedMs = lastPlan().confirmedMs();
     sim.losePlanner();
     sim.run(ELECTED_AFTER_MS);
-    electNextPlanner(confirmedMs);
+    sim.electNextPlanner(confirmedMs);
     sim.run(RESENT_MS);
     final SimulatedServer later = carryOutBehindCut();
-    assertOneRun(later, sim.addServer("w2", 10_000));
+    sim.assertOneRunAfterCut(CUT_MS, later, sim.addServer("w2", 10_000));
   }
 
   @Test
@@ -230,8 +217,8 @@
     final SimulatedServer later = carryOutBehindCut();
     final SimulatedServer other = sim.addServer("w2", 10_000);
     sim.run(ELECTED_AFTER_MS);
-    electNextPlanner(confirmedMs);
-    assertOneRun(later, other);
+    sim.electNextPlanner(confirmedMs);
+    sim.assertOneRunAfterCut(CUT_MS, later, other);
   }
 
   /** Returns whether a stop was sent, which is done once it is stored. */
--- a/core/src/test/java/dev/toucanstall/core/plan/LeaseOnFormerClockTest.java
+++ b/core/src/test/java/dev/toucanstall/core/plan/LeaseOnFormerClockTest.java
@@ -88,10 +88,6 @@
     return effect instanceof PlanEffect.Hold renewal && renewal.waitMs() > 0;
   }
 
-  private static boolean givesLease(PlanEffect effect) {
-    return effect instanceof PlanEffect.Hold renewal && renewal.leaseExpiryMs() > 0;
-  }
-
   /** Ends "w1" without a word, so that calls to it get no answer. */
   private SimulatedServer crashSilently() {
     SimulatedServer former = sim.requireServer("w1");
@@ -204,7 +200,7 @@
     addServerAndPlanner();
     sim.submit("j", PlanSimulation.step(2, 1_000));
     sim.run(2_000);
-    sim.holdsBack = LeaseOnFormerClockTest::givesLease;
+    sim.holdsBack = PlanSimulation::givesLease;
     runUntilHeldBack();
     final SimulatedServer later = sim.restart("w1");
     sim.deliverOnItsWay();
@@ -215,7 +211,7 @@
     sim.run(300);
     final SimulatedServer other = replace(later);
     sim.run(300);
-    sim.electPlanner(Succession.of(sim.now().steadyMs(), confirmedMs, 0));
+    sim.electNextPlanner(confirmedMs);
     assertStartedLater(other, 2);
   }
 
@@ -231,7 +227,7 @@
     final SimulatedServer other = replace(later);
     sim.run(600);
     sim.holdsBack = order -> false;
-    sim.electPlanner(Succession.of(sim.now().steadyMs(), confirmedMs, 0));
+    sim.electNextPlanner(confirmedMs);
     assertStartedLater(other, 1);
   }
 
@@ -291,7 +287,7 @@
     sim.losePlanner();
     final SimulatedServer other = replace(crashSilently());
     sim.run(600);
-    sim.electPlanner(Succession.of(sim.now().steadyMs(), confirmedMs, 0));
+    sim.electNextPlanner(confirmedMs);
     sim.run(MAX_OUTAGE_MS - 600);
     assertThat(other.running).hasSize(1);
   }
@@ -384,7 +380,7 @@
     final SimulatedServer later = restartUnlisted();
     later.reachable = false;
     sim.run(ELECTION_MS);
-    sim.electPlanner(Succession.of(sim.now().steadyMs(), confirmedMs, 0));
+    sim.electNextPlanner(confirmedMs);
     assertLateStartIsAwaited(later, LOST_AFTER_MS + ELECTION_MS, LONG_CUT_MS);
   }
 
--- a/core/src/test/java/dev/toucanstall/core/plan/PlanSimulation.java
+++ b/core/src/test/java/dev/toucanstall/core/plan/PlanSimulation.java
@@ -1,5 +1,6 @@
 package dev.toucanstall.core.plan;
 
+import static com.google.common.truth.Truth.assertThat;
 import static com.google.common.truth.Truth.assertWithMessage;
 
 import dev.toucanstall.core.job.Account;
@@ -65,6 +66,9 @@
    */
   static final long LONG_UPTIME_MS = 20_000;
 
+  /** Time in which all leases of any planner expire, in milliseconds. */
+  private static final long ALL_LEASES_MS = 14_000;
+
   /** Longest time in which a test awaits a condition, in milliseconds. */
   private static final long LONGEST_WAIT_MS = 5_000;
 
@@ -421,6 +425,28 @@
     return next;
   }
 
+  /** Starts a planner that knows when the store last confirmed the one before. */
+  Planner electNextPlanner(long confirmedMs) {
+    return electPlanner(Succession.of(nowMs, confirmedMs, 0));
+  }
+
+  /** Returns whether an order is a renewal that gives a lease. */
+  static boolean givesLease(PlanEffect order) {
+    return order instanceof PlanEffect.Hold renewal && renewal.leaseExpiryMs() > 0;
+  }
+
+  /**
+   * Ends the cut of a backend server after a time, and asserts that its task and its copy elsewhere
+   * never ran at once, and that one of the two runs once all leases are out.
+   */
+  void assertOneRunAfterCut(long cutMs, SimulatedServer cutOff, SimulatedServer other) {
+    run(cutMs);
+    cutOff.reachable = true;
+    run(ALL_LEASES_MS);
+    assertThat(violations).isEmpty();
+    assertThat(cutOff.running.size() + other.running.size()).isEqualTo(1);
+  }
+
   /**
    * Fences all epochs below the requested one, or below the next if that is higher; returns the
    * lowest epoch whose appends the store accepts.
--- a/core/src/test/java/dev/toucanstall/core/plan/SuccessionAfterRestartTest.java
+++ b/core/src/test/java/dev/toucanstall/core/plan/SuccessionAfterRestartTest.java
@@ -67,11 +67,6 @@
     return effect instanceof PlanEffect.Start start && start.task().step() == 2;
   }
 
-  /** Elects a planner that knows when the store last confirmed the lost one. */
-  private void electNextPlanner(long confirmedMs) {
-    sim.electPlanner(Succession.of(sim.now().steadyMs(), confirmedMs, 0));
-  }
-
   /** Asserts that both tasks run again elsewhere once all leases have expired, and not before. */
   private void assertBothStartedLater(SimulatedServer other) {
     sim.run(ALL_LEASES_MS);
@@ -93,7 +88,7 @@
     later.reachable = false;
     final SimulatedServer other = sim.addServer("w2", 10_000);
     sim.run(ELECTED_AFTER_MS);
-    electNextPlanner(confirmedMs);
+    sim.electNextPlanner(confirmedMs);
     assertBothStartedLater(other);
   }
 
@@ -110,7 +105,7 @@
     sim.run(ELECTED_AFTER_MS);
     final SimulatedServer other = sim.addServer("w2", 10_000);
     sim.holdsBack = order -> order instanceof PlanEffect.Hold h && h.leaseExpiryMs() > 0;
-    electNextPlanner(confirmedMs);
+    sim.electNextPlanner(confirmedMs);
     sim.run(CUT_OFF_AFTER_MS);
     later.reachable = false;
     sim.holdsBack = order -> false;
@@ -142,7 +137,7 @@
     sim.storeAvailable = true;
     final SimulatedServer other = sim.addServer("w2", 10_000);
     sim.run(ELECTED_AFTER_MS);
-    electNextPlanner(confirmedMs);
+    sim.electNextPlanner(confirmedMs);
     assertBothStartedLater(other);
   }
 
@@ -182,10 +177,6 @@
     assertThat(serversOnFormerClocks()).isEmpty();
   }
 
-  private static boolean givesLease(PlanEffect effect) {
-    return effect instanceof PlanEffect.Hold renewal && renewal.leaseExpiryMs() > 0;
-  }
-
   /**
    * Has a renewal with a lease for "w1", whose only run ends then, reach a later incarnation that
    * the lost planner didn't know, and a task start there under the next planner.
@@ -198,7 +189,7 @@
     final long confirmedMs = losePlanner();
     sim.deliverOnItsWay();
     sim.run(ELECTED_AFTER_MS);
-    electNextPlanner(confirmedMs);
+    sim.electNextPlanner(confirmedMs);
     sim.submit("j", step);
     sim.runUntil(() -> !later.running.isEmpty());
     return later;
@@ -211,7 +202,7 @@
     sim.electPlanner();
     sim.run(UPTIME_MS);
     sim.submit("first", PlanSimulation.step(1, 1_000));
-    sim.holdsBack = SuccessionAfterRestartTest::givesLease;
+    sim.holdsBack = PlanSimulation::givesLease;
     sim.runUntil(() -> !sim.heldBack.isEmpty());
     sim.holdsBack = order -> false;
     sim.run(RENEWED_AGAIN_MS);
@@ -265,7 +256,7 @@
     later.reachable = false;
     final SimulatedServer other = sim.addServer("w2", 10_000);
     sim.run(ELECTED_AFTER_MS);
-    electNextPlanner(confirmedMs);
+    sim.electNextPlanner(confirmedMs);
     sim.run(ALL_LEASES_MS);
     assertThat(sim.violations).isEmpty();
     assertThat(other.running).hasSize(1);
@@ -282,13 +273,13 @@
     later.reachable = false;
     long confirmedMs = losePlanner();
     sim.run(ELECTED_AFTER_MS);
-    electNextPlanner(confirmedMs);
+    sim.electNextPlanner(confirmedMs);
     sim.run(UNREACHED_MS);
     confirmedMs = losePlanner();
     later.reachable = true;
     sim.deliverOnItsWay();
     sim.run(ELECTED_AFTER_MS);
-    electNextPlanner(confirmedMs);
+    sim.electNextPlanner(confirmedMs);
     sim.submit("j", PlanSimulation.step(1, 1_000));
     sim.runUntil(() -> !later.running.isEmpty());
     assertStartedElsewhereLater(later);
@@ -308,7 +299,7 @@
     sim.run(UNREACHED_MS);
     final long confirmedMs = losePlanner();
     sim.run(ELECTED_AFTER_MS);
-    electNextPlanner(confirmedMs);
+    sim.electNextPlanner(confirmedMs);
     later.reachable = true;
     later.reachesStore = true;
     sim.deliverOnItsWay();
