Await no copy of a start that only an earlier planner may have sent, nor one of a lasting task

What callers would have seen: after each change of planners, a task whose start is stored but may never have been sent is started again; if its backend server refused that, the task waited 12 s before it was started elsewhere. A lasting task in its first run would have waited as long, which is over the 10 s of calm that users bear. Change: only copies that this planner has sent keep a task that doesn't last at its backend server.

--- a/core/src/main/java/dev/toucanstall/core/plan/OrderRules.java
+++ b/core/src/main/java/dev/toucanstall/core/plan/OrderRules.java
@@ -61,9 +61,6 @@
 
   private static void sendStart(Plan plan, Server server, Task task, Now now) {
     plan.orders.sent(server, new OrderWindow.SentOrder(task.key, task.run, false), now);
-    if (task.startUnanswered) {
-      task.copyMayArrive(server, task.orderedMs);
-    }
     task.startsSent++;
     task.startGivenUpMs = 0;
     task.orderedMs = now.steadyMs();
--- a/core/src/main/java/dev/toucanstall/core/plan/Task.java
+++ b/core/src/main/java/dev/toucanstall/core/plan/Task.java
@@ -253,12 +253,12 @@
   /**
    * Returns whether a copy of the start may yet be carried out by an incarnation after the one
    * whose lists lack the run: a stop is known only to the incarnation that has answered it. A
-   * lasting task that has served can't wait for that.
+   * lasting task can't wait for that.
    */
   boolean awaitsLateCopy(Server listed, long nowMs) {
     return copyArrivesUntilMs > nowMs
         && copySentToMs == listed.entry.startTimeMs()
-        && !(step.lasting() && mayHaveServed())
+        && !step.lasting()
         && !job.phase.ended();
   }
 
