Leave review/ as it was; tests that shared their steps

Change: it stands in plays/next-start-behind-cut, with the method that it needs; two pairs of tests share their steps, their checks unchanged.

--- a/core/src/test/java/dev/toucanstall/core/plan/LeaseOfForgottenServerTest.java
+++ b/core/src/test/java/dev/toucanstall/core/plan/LeaseOfForgottenServerTest.java
@@ -76,11 +76,12 @@
   }
 
   /**
-   * Guards against two runs of a task at once: a start had no answer, its run was given up once the
-   * stop was answered, and a later incarnation carries the start out before it has seen a token.
+   * Has a start to "w1" given up that had no answer, and carried out by a later incarnation that
+   * has seen no token; asserts that the task has one run at a time.
+   *
+   * @param sends number of sends of the start before its backend server begins to drain
    */
-  @Test
-  void startOfRunThatWasGivenUpIsNotCarriedOutByLaterIncarnation() {
+  private void assertGivenUpStartIsNotCarriedOut(int sends) {
     sim.taskMs = 60_000;
     sim.addServer("w1", 10_000);
     sim.electPlanner();
@@ -88,7 +89,7 @@
     sim.holdsBack = order -> order instanceof PlanEffect.Start;
     sim.submit("j", PlanSimulation.step(1, 1_000));
     final SimulatedServer other = sim.addServer("w2", 10_000);
-    sim.runUntil(() -> sim.heldBack.size() == MAX_SENDS);
+    sim.runUntil(() -> sim.heldBack.size() == sends);
     sim.holdsBack = order -> false;
     sim.requireServer("w1").draining = true;
     sim.run(RENEWED_MS);
@@ -99,27 +100,21 @@
     assertThat(later.running.size() + other.running.size()).isEqualTo(1);
   }
 
+  /**
+   * Guards against two runs of a task at once: a start had no answer, its run was given up once the
+   * stop was answered, and a later incarnation carries the start out before it has seen a token.
+   */
+  @Test
+  void startOfRunThatWasGivenUpIsNotCarriedOutByLaterIncarnation() {
+    assertGivenUpStartIsNotCarriedOut(MAX_SENDS);
+  }
+
   /**
    * Guards against the same for a start that was sent once: its backend server begins to drain
    * before it is sent again.
    */
   @Test
   void startThatWasGivenUpAtDrainIsNotCarriedOutByLaterIncarnation() {
-    sim.taskMs = 60_000;
-    sim.addServer("w1", 10_000);
-    sim.electPlanner();
-    sim.run(UPTIME_MS);
-    sim.holdsBack = order -> order instanceof PlanEffect.Start;
-    sim.submit("j", PlanSimulation.step(1, 1_000));
-    final SimulatedServer other = sim.addServer("w2", 10_000);
-    sim.runUntil(() -> !sim.heldBack.isEmpty());
-    sim.requireServer("w1").draining = true;
-    sim.holdsBack = order -> false;
-    sim.run(RENEWED_MS);
-    final SimulatedServer later = sim.restart("w1");
-    sim.deliverOnItsWay();
-    sim.run(ALL_LEASES_MS);
-    assertThat(sim.violations).isEmpty();
-    assertThat(later.running.size() + other.running.size()).isEqualTo(1);
+    assertGivenUpStartIsNotCarriedOut(1);
   }
 }
--- a/core/src/test/java/dev/toucanstall/core/plan/LeaseOfUnknownStartTest.java
+++ b/core/src/test/java/dev/toucanstall/core/plan/LeaseOfUnknownStartTest.java
@@ -78,12 +78,8 @@
     sim.assertOneRunAfterCut(CUT_MS, later, sim.addServer("w2", 10_000));
   }
 
-  /**
-   * Guards against the same across an election: the next planner has sent the start again and had
-   * an answer, while the copy of its predecessor is on its way.
-   */
-  @Test
-  void leaseOfPredecessorsCopyOfConfirmedStartIsAwaited() {
+  /** Has the next planner send the first start again and get an answer. */
+  private void startAgainUnderNextPlanner() {
     holdBackFirstStart();
     final long confirmedMs = sim.now().steadyMs();
     sim.losePlanner();
@@ -92,6 +88,15 @@
     sim.electNextPlanner(confirmedMs);
     sim.run(RESENT_MS);
     assertThat(sim.requireServer("w1").running).hasSize(1);
+  }
+
+  /**
+   * Guards against the same across an election: the next planner has sent the start again and had
+   * an answer, while the copy of its predecessor is on its way.
+   */
+  @Test
+  void leaseOfPredecessorsCopyOfConfirmedStartIsAwaited() {
+    startAgainUnderNextPlanner();
     final SimulatedServer later = carryOutBehindCut();
     sim.assertOneRunAfterCut(CUT_MS, later, sim.addServer("w2", 10_000));
   }
@@ -102,14 +107,7 @@
    */
   @Test
   void leaseOfCopyOfConfirmedStartIsAwaitedAfterTwoElections() {
-    holdBackFirstStart();
-    final long confirmedMs = sim.now().steadyMs();
-    sim.losePlanner();
-    sim.holdsBack = order -> false;
-    sim.run(ELECTED_AFTER_MS);
-    sim.electNextPlanner(confirmedMs);
-    sim.run(RESENT_MS);
-    assertThat(sim.requireServer("w1").running).hasSize(1);
+    startAgainUnderNextPlanner();
     final long confirmedLaterMs = sim.now().steadyMs();
     sim.losePlanner();
     final SimulatedServer later = carryOutBehindCut();
--- a/review/standin-2/RebornNext.java
+++ b/plays/next-start-behind-cut/RebornNext.java
@@ -1,4 +1,7 @@
 import com.fasterxml.jackson.databind.JsonNode;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
 import java.util.List;
 
 /**
@@ -165,4 +168,22 @@
     chosen.setCut(false);
     Thread.sleep(REST_MS);
   }
+
+  /** Returns the number of the entry instance that plans, by the epochs in the logs, -1 if none. */
+  private int plannerIndex() throws IOException {
+    long highest = -1;
+    int planner = -1;
+    for (int i = 0; i < entries.size(); i++) {
+      Path log = temp.resolve("frontend-zone-a-" + (i + 1) + ".log");
+      for (String line : Files.readAllLines(log)) {
+        JsonNode fields = line.contains("planner-elected") ? parse(line.getBytes()) : null;
+        long epoch = fields == null ? -1 : fields.path("data").path("epoch").asLong(-1);
+        if (epoch > highest) {
+          highest = epoch;
+          planner = i;
+        }
+      }
+    }
+    return planner;
+  }
 }
