Review: show two runs of lasting work after a run that was given up

Cause: a lasting run that is given up forgets that a copy of its start may arrive (Task.awaitsLateCopy, Task.unbind), so the leases of its next run alone are awaited once the worker is silent. The stand-ins can leave an order unanswered and carry it out behind a cut.

--- a/review/rig-3/Rig.java
+++ b/review/rig-3/Rig.java
@@ -291,6 +291,11 @@
     onStart(starts.getLast());
   }
 
+  /** Returns whether an order to start gets no answer; called with the lock held. */
+  boolean holdsBack(Worker worker, JsonNode order) {
+    return false;
+  }
+
   /** Called at each start, with the lock held. */
   void onStart(Start start) {}
 
--- a/review/rig-3/Worker.java
+++ b/review/rig-3/Worker.java
@@ -33,6 +33,9 @@
   static final long GANG_TIMEOUT_MS = 3_000;
   private static final int MAX_ENDS = 500;
 
+  /** Time after which the channel of an order without an answer ends, in milliseconds. */
+  private static final long HELD_BACK_MS = 5_000;
+
   /** A run that is present. */
   static final class Run {
     String task;
@@ -149,17 +152,8 @@
   /** Begins another lifetime under the same id and at the same address. */
   void restart(String newKind) {
     synchronized (rig.lock) {
-      runs.clear();
-      ended.clear();
-      ends = new ArrayList<>();
-      lastEnd = 0;
-      fence = 0;
-      leaseMs = 0;
-      sequence = 0;
-      bornUnixMs = System.currentTimeMillis();
-      bornMs = System.nanoTime() / 1_000_000;
+      beginLifetime();
       kind = newKind;
-      lifetime++;
       cut = false;
       report();
       rig.lock.notifyAll();
@@ -167,6 +161,53 @@
     rig.log(id + " starts again, of kind " + newKind);
   }
 
+  private void beginLifetime() {
+    runs.clear();
+    ended.clear();
+    ends = new ArrayList<>();
+    lastEnd = 0;
+    fence = 0;
+    leaseMs = 0;
+    sequence = 0;
+    bornUnixMs = System.currentTimeMillis();
+    bornMs = System.nanoTime() / 1_000_000;
+    lifetime++;
+  }
+
+  /** Begins another lifetime under the same id behind a cut, of which no other process knows. */
+  void restartBehindCut() {
+    synchronized (rig.lock) {
+      beginLifetime();
+    }
+    rig.log(id + " starts again behind the cut");
+  }
+
+  /** Ends the cut. */
+  void rejoin() {
+    synchronized (rig.lock) {
+      cut = false;
+      report();
+      rig.lock.notifyAll();
+    }
+    rig.log(id + " is reached again");
+  }
+
+  /** Carries out an order to start that had no answer. */
+  void startLate(JsonNode body) {
+    int[] status = {200};
+    ObjectNode answer;
+    synchronized (rig.lock) {
+      long token = body.path("fencingToken").asLong(0);
+      if (token < fence) {
+        answer = refuse(status, "fence");
+      } else {
+        fence = token;
+        answer = start(body, status);
+      }
+    }
+    rig.log("%s carries out a late order: %d %s".formatted(id, status[0], answer));
+  }
+
   void close() {
     server.stop(0);
   }
@@ -186,6 +227,10 @@
         if (gone || lost) {
           return;
         }
+        if (exchange.getRequestURI().getPath().equals("/-/run-start") && rig.holdsBack(this, body)) {
+          rig.lock.wait(HELD_BACK_MS);
+          return;
+        }
         if (wanted != null && !wanted.equals(id)) {
           status[0] = 421;
           answer = Store.JSON.createObjectNode();
